--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,78 @@
+// Command drill runs the decision module on the simulator's wire: batches on standard input, replies on
+// standard output. It hosts many independent instances, one router each.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"merlinarch/internal/wire"
+	"merlinarch/logic"
+)
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		slog.Error("drill stopped", "err", err)
+		os.Exit(1)
+	}
+}
+
+// run answers every batch on in with one line on out until in ends.
+func run(in io.Reader, out io.Writer) error {
+	reader := bufio.NewReaderSize(in, 1<<20)
+	decoder := wire.NewDecoder()
+	routers := map[int64]*logic.Router{}
+	var reply wire.Reply
+	for n := 1; ; n++ {
+		line, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) && len(line) == 0 {
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("read line %d: %w", n, err)
+		}
+		batch, err := decoder.Decode(line)
+		if err != nil {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		reply.Reset()
+		for _, part := range batch.Parts {
+			actions, err := feed(routers, part, batch)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", n, err)
+			}
+			if err := reply.Add(part.Instance, actions); err != nil {
+				return fmt.Errorf("line %d: %w", n, err)
+			}
+		}
+		if _, err := out.Write(reply.Line()); err != nil {
+			return fmt.Errorf("write reply %d: %w", n, err)
+		}
+	}
+}
+
+// feed hands one instance its events, in order, and gathers its actions.
+func feed(routers map[int64]*logic.Router, part wire.Part, batch wire.Batch) ([]logic.Action, error) {
+	var actions []logic.Action
+	for _, in := range part.Inputs {
+		switch {
+		case in.Crash:
+			delete(routers, part.Instance)
+			actions = actions[:0]
+		case in.Boot != nil:
+			routers[part.Instance] = logic.New(in.Boot.Settings, in.Boot.Seed)
+		default:
+			r, ok := routers[part.Instance]
+			if !ok {
+				return nil, fmt.Errorf("instance %d has an event (%T) but was never booted", part.Instance, in.Event)
+			}
+			actions = append(actions, r.Handle(batch.Now, in.Event)...)
+		}
+	}
+	return actions, nil
+}
--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,350 @@
+// Package wire translates between the simulator's line protocol and the decision module's interface.
+// It decides nothing.
+package wire
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"merlinarch/logic"
+)
+
+// Input is one event for one instance.
+type Input struct {
+	Boot  *Boot       // set when the instance starts
+	Crash bool        // set when the instance was killed
+	Event logic.Event // otherwise
+}
+
+// Boot carries what an instance starts with.
+type Boot struct {
+	Seed     uint64
+	Settings logic.Settings
+}
+
+// Part is the events of one instance in a batch.
+type Part struct {
+	Instance int64
+	Inputs   []Input
+}
+
+// Batch is one decoded line.
+type Batch struct {
+	Now   time.Duration
+	Parts []Part
+}
+
+// Decoder reads batches. It keeps the numbered server lists, which outlive a batch.
+type Decoder struct {
+	parser fastjson.Parser
+	lists  map[int][]logic.Server
+}
+
+// NewDecoder returns a decoder that knows no lists yet.
+func NewDecoder() *Decoder { return &Decoder{lists: map[int][]logic.Server{}} }
+
+// Decode reads one line.
+func (d *Decoder) Decode(line []byte) (Batch, error) {
+	v, err := d.parser.ParseBytes(line)
+	if err != nil {
+		return Batch{}, fmt.Errorf("line is not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return Batch{}, fmt.Errorf("batch is a %s, not an object", v.Type())
+	}
+	clock := v.Get("time_ms")
+	if clock == nil || clock.Type() != fastjson.TypeNumber {
+		return Batch{}, fmt.Errorf("batch has no number time_ms")
+	}
+	parts := v.Get("parts")
+	if parts == nil || parts.Type() != fastjson.TypeArray {
+		return Batch{}, fmt.Errorf("batch has no array parts")
+	}
+	batch := Batch{Now: millis(clock)}
+	for i, p := range parts.GetArray() {
+		who := p.Get("who")
+		if who == nil {
+			return Batch{}, fmt.Errorf("part %d: no who", i)
+		}
+		id, err := who.Int64()
+		if err != nil {
+			return Batch{}, fmt.Errorf("part %d: who: %w", i, err)
+		}
+		input := p.Get("input")
+		if input == nil || input.Type() != fastjson.TypeArray {
+			return Batch{}, fmt.Errorf("part %d: no array input", i)
+		}
+		part := Part{Instance: id}
+		for j, e := range input.GetArray() {
+			in, skip, err := d.event(e)
+			if err != nil {
+				return Batch{}, fmt.Errorf("part %d, event %d: %w", i, j, err)
+			}
+			if !skip {
+				part.Inputs = append(part.Inputs, in)
+			}
+		}
+		batch.Parts = append(batch.Parts, part)
+	}
+	return batch, nil
+}
+
+// fields reads the values of one message and remembers the first thing wrong with them.
+type fields struct {
+	name string
+	v    []*fastjson.Value
+	err  error
+}
+
+func (f *fields) at(i int, kind fastjson.Type, required bool) *fastjson.Value {
+	if i >= len(f.v) || f.v[i].Type() == fastjson.TypeNull {
+		if required && f.err == nil {
+			f.err = fmt.Errorf("%s: value %d is missing", f.name, i)
+		}
+		return nil
+	}
+	if f.v[i].Type() != kind {
+		if f.err == nil {
+			f.err = fmt.Errorf("%s: value %d is a %s, not a %s", f.name, i, f.v[i].Type(), kind)
+		}
+		return nil
+	}
+	return f.v[i]
+}
+
+func (f *fields) text(i int) string {
+	if v := f.at(i, fastjson.TypeString, true); v != nil {
+		return string(v.GetStringBytes())
+	}
+	return ""
+}
+
+func (f *fields) number(i int) *fastjson.Value { return f.at(i, fastjson.TypeNumber, true) }
+
+func (f *fields) uint(i int) uint64 {
+	v := f.number(i)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Uint64()
+	if err != nil && f.err == nil {
+		f.err = fmt.Errorf("%s: value %d: %w", f.name, i, err)
+	}
+	return n
+}
+
+func (f *fields) float(i int) float64 {
+	if v := f.number(i); v != nil {
+		return v.GetFloat64()
+	}
+	return 0
+}
+
+func (f *fields) millis(i int) time.Duration {
+	if v := f.number(i); v != nil {
+		return millis(v)
+	}
+	return 0
+}
+
+func (f *fields) optMillis(i int) time.Duration {
+	if v := f.at(i, fastjson.TypeNumber, false); v != nil {
+		return millis(v)
+	}
+	return 0
+}
+
+func (f *fields) bool(i int) bool {
+	if i < len(f.v) && (f.v[i].Type() == fastjson.TypeTrue || f.v[i].Type() == fastjson.TypeFalse) {
+		return f.v[i].GetBool()
+	}
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: value %d is not a bool", f.name, i)
+	}
+	return false
+}
+
+func (f *fields) outcome(i int) logic.Outcome {
+	code := f.uint(i)
+	o, ok := outcomes[code]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("%s: unknown outcome %d", f.name, code)
+	}
+	return o
+}
+
+// load reads a load report; values of unknown names are skipped.
+func (f *fields) load(i int) *logic.Load {
+	v := f.at(i, fastjson.TypeObject, false)
+	if v == nil {
+		return nil
+	}
+	l := &logic.Load{InFlight: -1, Queue: -1, Utilization: -1, RatePerSec: -1}
+	v.GetObject().Visit(func(k []byte, x *fastjson.Value) {
+		if x.Type() != fastjson.TypeNumber {
+			return
+		}
+		switch string(k) {
+		case "concurrent":
+			l.InFlight = x.GetFloat64()
+		case "depth":
+			l.Queue = x.GetFloat64()
+		case "load_share":
+			l.Utilization = x.GetFloat64()
+		case "tps":
+			l.RatePerSec = x.GetFloat64()
+		}
+	})
+	return l
+}
+
+func millis(v *fastjson.Value) time.Duration {
+	return time.Duration(v.GetFloat64()*1000+0.5) * time.Microsecond
+}
+
+// event reads one event; skip is set for events that only concern the decoder.
+func (d *Decoder) event(v *fastjson.Value) (in Input, skip bool, err error) {
+	arr, err := v.Array()
+	if err != nil {
+		return in, false, fmt.Errorf("event is not an array: %w", err)
+	}
+	if len(arr) == 0 {
+		return in, false, fmt.Errorf("event is empty")
+	}
+	nameBytes, err := arr[0].StringBytes()
+	if err != nil {
+		return in, false, fmt.Errorf("event has no name: %w", err)
+	}
+	f := &fields{name: string(nameBytes), v: arr[1:]}
+	switch f.name {
+	case "job_in":
+		in.Event = request(f)
+	case "resolved":
+		in.Event = logic.AttemptDone{ID: logic.RequestID(f.text(0)), Outcome: f.outcome(1), Took: f.millis(2),
+			Server: logic.ServerID(f.uint(3)), Attempt: int(f.uint(4)), Final: f.bool(5), Load: f.load(6)}
+	case "fired":
+		in.Event = logic.TimerFired{Token: f.uint(0)}
+	case "gone":
+		in.Event = logic.ClientGone{ID: logic.RequestID(f.text(0))}
+	case "ack_first":
+		in.Event = logic.AnswerStarted{ID: logic.RequestID(f.text(0)), Attempt: int(f.uint(1))}
+	case "health":
+		in.Event = logic.ProbeDone{Server: logic.ServerID(f.uint(0)), Outcome: f.outcome(1), Took: f.millis(2),
+			Load: f.load(3)}
+	case "message":
+		data, hexErr := hex.DecodeString(f.text(1))
+		if hexErr != nil && f.err == nil {
+			f.err = fmt.Errorf("message: %w", hexErr)
+		}
+		in.Event = logic.PeerMessage{From: int(f.uint(0)), Data: data}
+	case "release_state":
+		in.Event = release(f)
+	case "scorecard":
+		in.Event = logic.BuildTally{Build: logic.BuildID(f.uint(0)), Class: f.text(1), Count: int(f.uint(2)),
+			Failed: int(f.uint(3)), Mean: f.optMillis(4), Age: f.millis(5)}
+	case "objection":
+		in.Event = logic.AnswerDisputed{Server: logic.ServerID(f.uint(0)), Class: f.text(1), Age: f.millis(2)}
+	case "pool":
+		skip = true
+		if id, entries := int(f.uint(0)), f.at(1, fastjson.TypeArray, true); f.err == nil {
+			d.lists[id], f.err = servers(entries.GetArray())
+		}
+	case "update":
+		in.Event = d.update(f)
+	case "boot":
+		in.Boot = &Boot{Seed: f.uint(0)}
+		if obj := f.at(1, fastjson.TypeObject, true); f.err == nil {
+			in.Boot.Settings, f.err = settings(obj)
+		}
+	case "crash_now":
+		in.Crash = true
+	default:
+		f.err = fmt.Errorf("unknown event %q", f.name)
+	}
+	return in, skip, f.err
+}
+
+func request(f *fields) logic.Event {
+	r := logic.RequestArrived{ID: logic.RequestID(f.text(0)), Class: f.text(1), Left: f.millis(4)}
+	if v := f.at(2, fastjson.TypeString, false); v != nil {
+		r.Tenant = string(v.GetStringBytes())
+	}
+	if v := f.at(3, fastjson.TypeNumber, false); v != nil {
+		r.Key, r.HasKey = v.GetUint64(), true
+	}
+	bits := uint64(0)
+	if v := f.at(6, fastjson.TypeNumber, false); v != nil {
+		bits = v.GetUint64()
+	}
+	if bits&1 != 0 {
+		r.Hint = f.optMillis(5)
+	}
+	r.Retry = bits&2 != 0
+	return r
+}
+
+// release reads news of the newest build; a reply that did not succeed brings nothing but how it went.
+func release(f *fields) logic.Event {
+	reply, ok := replies[f.uint(4)]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("release_state: unknown how %d", f.uint(4))
+	}
+	e := logic.ReleaseStatus{IsReply: f.uint(3) == 1, Reply: reply}
+	if reply != logic.VoteCounts {
+		return e
+	}
+	e.Build, e.Stage, e.Cap, e.Age = logic.BuildID(f.uint(0)), int(f.uint(1)), f.float(5), f.millis(6)
+	phase := f.uint(2)
+	if phase > uint64(logic.Withdrawn) && f.err == nil {
+		f.err = fmt.Errorf("release_state: unknown standing %d", phase)
+	}
+	e.Phase = logic.Phase(phase)
+	return e
+}
+
+func (d *Decoder) update(f *fields) logic.Event {
+	f.uint(0)
+	how := f.text(1)
+	e := logic.ServersListed{Full: how == "F" || how == "C", Failed: how == "X"}
+	switch how {
+	case "X":
+	case "D", "F", "C":
+		id := int(f.uint(2))
+		list, ok := d.lists[id]
+		if !ok && f.err == nil {
+			f.err = fmt.Errorf("update: no pool %d", id)
+		}
+		e.Servers = list
+	default:
+		if f.err == nil {
+			f.err = fmt.Errorf("update: unknown how %q", how)
+		}
+	}
+	return e
+}
+
+func servers(entries []*fastjson.Value) ([]logic.Server, error) {
+	list := make([]logic.Server, 0, len(entries))
+	for i, e := range entries {
+		arr, err := e.Array()
+		if err != nil {
+			return nil, fmt.Errorf("pool: line %d: %w", i, err)
+		}
+		f := &fields{name: fmt.Sprintf("pool line %d", i), v: arr}
+		s := logic.Server{ID: logic.ServerID(f.uint(0)), Zone: f.text(1), Build: logic.BuildID(f.uint(3)),
+			Cell: int(f.uint(4)), Weight: f.float(6), Started: f.optMillis(7)}
+		state, ok := states[f.text(5)]
+		if !ok && f.err == nil {
+			f.err = fmt.Errorf("pool line %d: unknown mode", i)
+		}
+		if f.err != nil {
+			return nil, f.err
+		}
+		s.State = state
+		list = append(list, s)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,303 @@
+// Package logic decides, for one router, where requests go and how it votes on a build under rollout.
+//
+// The package is pure: no clock, I/O, goroutines or globals. A host (the simulator's adapter today, a
+// socket server or an external processor later) feeds events with the present time and carries out the
+// returned actions. Times are offsets from an arbitrary origin that only grow.
+package logic
+
+import "time"
+
+// Identifiers handed out by the host; they are opaque and returned as received.
+type (
+	RequestID string
+	ServerID  uint64
+	BuildID   int
+)
+
+// Repeatability tells what may be done again with a request of a class.
+type Repeatability int
+
+// Classes of repetition, from the freest to the strictest.
+const (
+	Safe   Repeatability = iota // may run any number of times
+	Keyed                       // a group of servers drops repeats for a while
+	Unsafe                      // must never run twice
+)
+
+// DedupScope is the group of servers that drops repeats of a keyed request.
+type DedupScope int
+
+// Scopes of deduplication.
+const (
+	ScopeAll DedupScope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name        string
+	Repeat      Repeatability
+	Scope       DedupScope
+	DedupWindow time.Duration
+	Aim         time.Duration // an answer within this earns the full worth
+	Deadline    time.Duration
+	Worth       float64
+	LateValue   float64
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests per second over all routers
+	Share float64
+}
+
+// Rollout holds the release platform's settings.
+type Rollout struct {
+	StageShare   []float64 // per stage: share of the fleet's places
+	StageCap     []float64 // per stage: cap on exposure
+	Window       time.Duration
+	Free         float64
+	PerClass     bool
+	ClosedStages int // below this stage only Safe classes may try the build
+	ForwardOnly  bool
+	Rolling      bool // earlier servers drain as their successors run
+	WarmKeys     bool // servers work faster for keys met lately
+	MinStage     time.Duration
+	VoteTTL      time.Duration
+	VoteTimeout  time.Duration
+	VotesPerSec  float64
+	Clocked      bool // stages advance on their own; votes can only hold or send back
+	FlagShare    float64
+}
+
+// Settings is what a router learns at start-up.
+type Settings struct {
+	Self, Peers   int
+	Zone          string
+	Classes       []Class
+	Tenants       []Tenant
+	Rollout       Rollout
+	MaxAttempts   int
+	MaxRetryAfter time.Duration
+	RetryAfter    bool
+	CanProbe      bool
+	CanPost       bool
+	CanCancel     bool
+	AskDiscovery  bool // discovery must be asked for changes
+	AskWithin     time.Duration
+	Tick          time.Duration
+	DrainGrace    time.Duration
+	ColdFrom      float64
+	ColdTime      time.Duration
+	FallMultiple  float64
+	FallTime      time.Duration
+	CrossZoneCost float64 // price of a request that crosses zones
+	OverShare     float64 // worth of a request beyond its tenant's share
+}
+
+// ServerState is a server's place in its life.
+type ServerState int
+
+// States of a listed server.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is one entry of discovery's list.
+type Server struct {
+	ID      ServerID
+	Zone    string
+	Build   BuildID
+	Cell    int
+	State   ServerState
+	Weight  float64
+	Started time.Duration // zero: long ago
+}
+
+// Load is a server's load report; a value that was not reported is negative.
+type Load struct {
+	InFlight, Queue, Utilization, RatePerSec float64
+}
+
+// Outcome is how an attempt or probe ended.
+type Outcome int
+
+// Outcomes of attempts.
+const (
+	OK            Outcome = iota
+	ServerError           // may have run
+	Rejected              // never ran
+	TimedOut              // may have run
+	ConnectFailed         // never ran
+	Reset                 // may have run
+	Cancelled             // may have run
+	NotSent               // never ran
+)
+
+// MayHaveRun tells whether an attempt with this outcome may have taken effect.
+func (o Outcome) MayHaveRun() bool {
+	return o != Rejected && o != ConnectFailed && o != NotSent
+}
+
+// Event is one thing that happened to the router.
+type Event any
+
+// Events.
+type (
+	// ServersListed brings discovery's news. Servers is shared: read it only.
+	ServersListed struct {
+		Full    bool // the complete list, not just changes
+		Failed  bool // an asked call failed or the subscription broke; no entries
+		Servers []Server
+	}
+	// RequestArrived hands a request to the router, which owes one final answer.
+	RequestArrived struct {
+		ID     RequestID
+		Class  string
+		Tenant string
+		Key    uint64
+		HasKey bool
+		Left   time.Duration // until the client gives up
+		Hint   time.Duration // expected work; zero where unknown
+		Retry  bool          // marked by the client as a repeat
+	}
+	// AnswerStarted tells that a streamed answer has begun.
+	AnswerStarted struct {
+		ID      RequestID
+		Attempt int
+	}
+	// AttemptDone ends an attempt.
+	AttemptDone struct {
+		ID      RequestID
+		Outcome Outcome
+		Took    time.Duration
+		Server  ServerID
+		Attempt int
+		Final   bool // the request has ended
+		Load    *Load
+	}
+	// ClientGone ends a request without an answer.
+	ClientGone struct{ ID RequestID }
+	// TimerFired brings back a timer's token.
+	TimerFired struct{ Token uint64 }
+	// ProbeDone answers a Probe.
+	ProbeDone struct {
+		Server  ServerID
+		Outcome Outcome
+		Took    time.Duration
+		Load    *Load
+	}
+	// PeerMessage is another router's message.
+	PeerMessage struct {
+		From int
+		Data []byte
+	}
+	// ReleaseStatus is the platform's news on the newest build, or its reply to a vote.
+	ReleaseStatus struct {
+		Build   BuildID
+		Stage   int
+		Phase   Phase
+		IsReply bool
+		Reply   VoteReply
+		Cap     float64
+		Age     time.Duration
+	}
+	// BuildTally is the platform's own sample of outcomes.
+	BuildTally struct {
+		Build         BuildID
+		Class         string
+		Count, Failed int
+		Mean, Age     time.Duration
+	}
+	// AnswerDisputed reports an answer that its client found wrong.
+	AnswerDisputed struct {
+		Server ServerID
+		Class  string
+		Age    time.Duration // since that attempt was sent
+	}
+)
+
+// Phase is where the newest build stands.
+type Phase int
+
+// Phases of a build.
+const (
+	OnTrial Phase = iota
+	GoingBack
+	Released
+	Withdrawn
+)
+
+// VoteReply is how the platform took a vote.
+type VoteReply int
+
+// Replies to votes.
+const (
+	VoteCounts VoteReply = iota
+	VoteMoot
+	VoteThrottled
+	VoteError
+	VoteTimedOut // may count
+)
+
+// Verdict is what a vote asks for.
+type Verdict int
+
+// Verdicts.
+const (
+	VoteNone Verdict = iota
+	VoteOn
+	VoteHold
+	VoteBack
+)
+
+// Action is one thing the host is asked to do, in order.
+type Action any
+
+// Actions.
+type (
+	// Send starts an attempt; a zero Timeout means until the client gives up.
+	Send struct {
+		ID      RequestID
+		Server  ServerID
+		Timeout time.Duration
+	}
+	// Cancel stops waiting for an attempt.
+	Cancel struct {
+		ID      RequestID
+		Attempt int
+	}
+	// Refuse is a final answer: trying again is harmless.
+	Refuse struct {
+		ID         RequestID
+		RetryAfter time.Duration
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID RequestID }
+	// SetTimer asks for a TimerFired.
+	SetTimer struct {
+		After time.Duration
+		Token uint64
+	}
+	// Probe checks a server.
+	Probe struct{ Server ServerID }
+	// Post sends a message to one peer, or to all when Peer is negative.
+	Post struct {
+		Peer int
+		Data []byte
+	}
+	// Vote casts this router's vote.
+	Vote struct {
+		Build   BuildID
+		Stage   int
+		Verdict Verdict
+	}
+	// Watch subscribes to discovery's changes.
+	Watch struct{}
+	// Log adds a line to the host's log.
+	Log struct{ Text string }
+)
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,1000 @@
+// This file holds every decision of the router, its tables and its tuned values. Read api.go first: the
+// settings, events and actions are there. report.go is only the codec of the messages between routers.
+//
+// Order: tuned values; the router and its events; servers (list, health, cold ramp); builds and exposure;
+// choice of a server; the life of a request; overload; evidence; the test; votes.
+package logic
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The design's values (docs/design.md). Level, margin, voters and the walk are fixed; the rest is open.
+const (
+	voters       = 3                      // voters a build, picked by hash
+	margin       = 0.02                   // harm that the test lets pass
+	level        = 0.01                   // the test rejects below this
+	horizon      = 20                     // pooled trial outcomes at which a voter tests
+	orderings    = 20                     // permuted orderings of the walk
+	trialPart    = 0.8                    // first sends to the build on trial, as a part of the cap
+	youngServer  = 3 * time.Second        // outcomes of servers younger than this are no evidence
+	stageTimeout = 5 * time.Second        // after the newest machine's listing a voter tests what it has
+	reportEvery  = 250 * time.Millisecond // how often counts go to the voters
+)
+
+// Values for what the design leaves open.
+const (
+	tickEvery     = 50 * time.Millisecond
+	launchWait    = 10 * time.Second        // a stage whose machines never get listed is tested after this
+	voteStagger   = 1200 * time.Millisecond // a voter waits this long for each one before it to say 'on'
+	backStagger   = 400 * time.Millisecond  // the same for 'back'
+	voteRetry     = 700 * time.Millisecond  // pause after a vote that did not count
+	voteRenew     = 500 * time.Millisecond  // a vote is renewed this long before it lapses
+	retryPart     = 0.8                     // an attempt that can be repeated may take this part of the aim
+	retryEarn     = 0.05                    // repeats after time-outs earned by a request
+	retryMax      = 8.0                     // and kept at most
+	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
+	suspectLast   = 8 * time.Second
+	suspectAfter  = 2    // failures in a row that make a server suspect
+	coldPart      = 0.6  // part of a cold server's fall budget that all routers together may use
+	crossLoad     = 12.0 // attempts in flight that one point of cross-zone price is worth
+	carryPart     = 1.25 // the trial share may exceed the new build's part of the fleet this much
+	limitStart    = 3.0  // concurrency limit at start, attempts a server
+	limitCut      = 0.9
+	lateBad       = 0.2 // part of answers over lateness that cuts the limit
+	stickySeen    = 2   // under forward-only a key met more often than this does not try a closed stage
+	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
+)
+
+// Router is one instance of the decisions.
+type Router struct {
+	s     Settings
+	now   time.Duration
+	rng   *rand.Rand
+	out   []Action
+	begun bool
+
+	servers           map[ServerID]*server
+	list, base, trial []*server // all by id; those of the ordinary build; those of the build on trial
+	trialID           BuildID   // 0: none
+	rel               ReleaseStatus
+	relKnown          bool
+	bad               map[BuildID]bool // builds told to go back
+
+	classes map[string]*class
+	tenants map[string]*tenant
+	budgets map[budgetKey]*budget
+	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
+	seen    map[uint64]int     // forward-only: how often a key came in this stage
+
+	reqs                   map[RequestID]*request
+	waiting                []*request
+	inFlight               int
+	limit, answers, late   float64 // the concurrency limit, and outcomes since it was last set
+	retries, rate, arrived float64 // repeats earned; requests a second, smoothed; since the last tick
+
+	incarnation                 uint32
+	counts                      Counts // own, of the present stage
+	peers                       map[peerKey]Report
+	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
+	vote                        voteState
+}
+
+type class struct {
+	Class
+	took   float64 // mean time of served attempts in seconds, smoothed
+	pinned float64 // share of requests whose key is bound to the build on trial, smoothed
+}
+
+type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
+
+type request struct {
+	RequestArrived
+	class             *class
+	arrived, deadline time.Duration
+	order             float64 // worth, for the queue
+	attempts          int
+	out               bool // an attempt is out
+	server            *server
+	sentAt, ranAt     time.Duration // the last send; the send of the first attempt that may have run
+	sentRel           ReleaseStatus // the release as known at the send
+	sentTrial         bool
+	ranOn             Server
+	mayRan            bool
+	draw, ended       bool // drawn for the build on trial; answered or gone
+}
+
+// New starts a router that knows its settings only.
+func New(s Settings, seed uint64) *Router {
+	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers: map[ServerID]*server{}, bad: map[BuildID]bool{}, classes: map[string]*class{},
+		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
+		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
+		retries: retryMax}
+	r.incarnation = r.rng.Uint32()
+	for _, c := range s.Classes {
+		r.classes[c.Name] = &class{Class: c}
+	}
+	quotas := 0.0
+	for _, t := range s.Tenants {
+		quotas += t.Quota
+	}
+	for _, t := range s.Tenants {
+		r.tenants[t.Name] = &tenant{part: t.Quota / quotas}
+	}
+	return r
+}
+
+// Handle takes one event and returns what is to be done; the slice is valid until the next call.
+func (r *Router) Handle(now time.Duration, e Event) []Action {
+	r.now, r.out = now, r.out[:0]
+	if !r.begun {
+		r.begun = true
+		r.do(SetTimer{After: tickEvery, Token: 1})
+		r.watch()
+	}
+	switch e := e.(type) {
+	case ServersListed:
+		r.listed(e)
+	case RequestArrived:
+		r.arrive(e)
+	case AttemptDone:
+		r.done(e)
+	case ClientGone:
+		if q := r.reqs[e.ID]; q != nil {
+			r.forget(q)
+		}
+	case TimerFired:
+		r.tick()
+	case PeerMessage:
+		r.hear(e)
+	case ReleaseStatus:
+		r.news(e)
+	}
+	return r.out
+}
+
+func (r *Router) do(a Action) { r.out = append(r.out, a) }
+
+func (r *Router) watch() {
+	if r.s.AskDiscovery {
+		r.do(Watch{})
+	}
+}
+
+// tick does what only time brings: rates, the limit, the queue, reports and votes.
+func (r *Router) tick() {
+	r.do(SetTimer{After: tickEvery, Token: 1})
+	keep := math.Exp(-tickEvery.Seconds() / 2)
+	r.rate = r.rate*keep + r.arrived/tickEvery.Seconds()*(1-keep)
+	r.arrived = 0
+	for _, t := range r.s.Tenants {
+		own := r.tenants[t.Name]
+		own.rate = own.rate*keep + own.came/tickEvery.Seconds()*(1-keep)
+		own.came = 0
+	}
+	r.adjustLimit()
+	r.drainQueue()
+	r.report()
+	r.ballot()
+}
+
+// ---- Servers: the list, health and the cold ramp ----
+
+type server struct {
+	Server
+	inFlight int
+	peerBusy map[int]int // attempts that peers have out there
+	fails    int         // in a row
+	pause    time.Duration
+	until    time.Duration // suspect until then
+	spent    float64       // cold budget used, in requests
+	spentAt  time.Duration
+}
+
+func (r *Router) listed(e ServersListed) {
+	if e.Failed {
+		r.watch()
+		return
+	}
+	named := map[ServerID]bool{}
+	for _, entry := range e.Servers {
+		named[entry.ID] = true
+		have := r.servers[entry.ID]
+		switch {
+		case entry.State == Gone:
+			delete(r.servers, entry.ID)
+		case have == nil || have.Build != entry.Build || have.Started != entry.Started:
+			fresh := &server{Server: entry, peerBusy: map[int]int{}}
+			if have != nil {
+				fresh.inFlight = have.inFlight
+			}
+			r.servers[entry.ID] = fresh
+			if entry.Build >= r.rel.Build && r.begun {
+				r.listedAt = r.now
+			}
+		default:
+			have.Server = entry
+		}
+	}
+	if e.Full {
+		for id := range r.servers {
+			if !named[id] {
+				delete(r.servers, id)
+			}
+		}
+	}
+	r.list = r.list[:0]
+	for _, s := range r.servers {
+		r.list = append(r.list, s)
+	}
+	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	r.regroup()
+	r.drainQueue()
+}
+
+// ramp is the part of its capacity that a server surely has.
+func (r *Router) ramp(s *server) float64 {
+	if s.Started == 0 || r.s.ColdTime <= 0 {
+		return 1
+	}
+	age := float64(r.now-s.Started) / float64(r.s.ColdTime)
+	return min(1, r.s.ColdFrom+(1-r.s.ColdFrom)*max(0, age))
+}
+
+// coldRoom tells whether a cold server may get one more request. Danger: all routers together push a
+// server that has just started over. Each router uses at most coldPart of the stated multiple of its own
+// fair rate a server, so the sum stays within the budget whatever the routers' shares are.
+func (r *Router) coldRoom(s *server, spend bool) bool {
+	ramp := r.ramp(s)
+	if ramp >= 1 || len(r.list) == 0 {
+		return true
+	}
+	rate := coldPart * r.s.FallMultiple * ramp * r.rate / float64(max(1, max(len(r.base), len(r.trial))))
+	depth := max(1, rate*r.s.FallTime.Seconds()/2)
+	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
+	s.spentAt = r.now
+	if s.spent+1 > depth+1e-9 {
+		return false
+	}
+	if spend {
+		s.spent++
+	}
+	return true
+}
+
+// blame notes a failure that may mean that the server does not answer. Covers dead, silent and cut-off
+// servers alike; it hurts where a healthy server is slow for one request, hence failures in a row.
+func (r *Router) blame(s *server, sure bool) {
+	s.fails++
+	if s.fails < suspectAfter && !sure {
+		return
+	}
+	s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
+	s.until = r.now + s.pause
+}
+
+func (s *server) clear() { s.fails, s.pause, s.until = 0, 0, 0 }
+
+// ---- Builds and exposure ----
+
+type budgetKey struct {
+	build BuildID
+	class string // empty where all classes count together
+}
+
+// budget bounds the attempts at a build on trial. What requests earn is kept up to one attempt; the rest
+// of the free number is slots that each come back one window after their use. So every window holds at
+// most free + cap x requests, wherever it begins.
+type budget struct {
+	earned float64
+	slots  []time.Duration // when each free slot was last used
+}
+
+func (r *Router) budget(build BuildID, c *class) *budget {
+	k := budgetKey{build: build}
+	if r.s.Rollout.PerClass {
+		k.class = c.Name
+	}
+	b := r.budgets[k]
+	if b == nil {
+		b = &budget{}
+		for range int(r.s.Rollout.Free) - 1 { // one is kept for what requests have earned
+			b.slots = append(b.slots, r.now-2*r.s.Rollout.Window)
+		}
+		r.budgets[k] = b
+	}
+	return b
+}
+
+// trialCap is the cap and stage that bind for a build that is not released.
+func (r *Router) trialCap(build BuildID) (float64, int) {
+	if r.relKnown && build == r.rel.Build {
+		return r.rel.Cap, r.rel.Stage
+	}
+	if len(r.s.Rollout.StageCap) > 0 {
+		return r.s.Rollout.StageCap[0], 0 // not yet named: counts as in the first stage
+	}
+	return 0, 0
+}
+
+// onTrial tells whether the rule on exposure binds a build. Nothing is sent before the first news.
+func (r *Router) onTrial(b BuildID) bool {
+	return b > r.rel.Build || b == r.rel.Build && r.rel.Phase != Released
+}
+
+// earn credits every budget of the build on trial with a request taken.
+func (r *Router) earn(c *class) {
+	if r.trialID != 0 {
+		limit, _ := r.trialCap(r.trialID)
+		b := r.budget(r.trialID, c)
+		b.earned = min(1, b.earned+limit)
+	}
+}
+
+// mayTry tells whether an attempt of this class may go to the build on trial now, and takes it if asked.
+func (r *Router) mayTry(build BuildID, c *class, take bool) bool {
+	limit, stage := r.trialCap(build)
+	if limit <= 0 || stage < r.s.Rollout.ClosedStages && c.Repeat != Safe {
+		return false
+	}
+	b := r.budget(build, c)
+	if b.earned >= 1 {
+		if take {
+			b.earned--
+		}
+		return true
+	}
+	for i, used := range b.slots {
+		if r.now-used > r.s.Rollout.Window+r.s.Tick {
+			if take {
+				b.slots[i] = r.now
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// regroup sorts the servers into those of the base build and those of the build on trial.
+func (r *Router) regroup() {
+	r.base, r.trial, r.trialID = r.base[:0], r.trial[:0], 0
+	var baseID BuildID
+	for _, s := range r.list {
+		if s.State != Ready {
+			continue
+		}
+		switch {
+		case r.onTrial(s.Build):
+			r.trialID = max(r.trialID, s.Build)
+		case baseID == 0, r.bad[baseID] && !r.bad[s.Build],
+			r.bad[baseID] == r.bad[s.Build] && s.Build > baseID:
+			baseID = s.Build
+		}
+	}
+	if r.relKnown && r.rel.Phase == OnTrial {
+		r.trialID = r.rel.Build
+	}
+	for _, s := range r.list {
+		if s.State == Ready && s.Build == baseID {
+			r.base = append(r.base, s)
+		} else if s.State == Ready && r.trialID != 0 && s.Build == r.trialID {
+			r.trial = append(r.trial, s)
+		}
+	}
+}
+
+// trialChance is the chance that a first request tries the build on trial: the design's share of the cap.
+// Exception, where the new machines are too few or too cold to carry that: their part of the fleet.
+func (r *Router) trialChance(c *class) float64 {
+	limit, stage := r.trialCap(r.trialID)
+	if stage < r.s.Rollout.ClosedStages && c.Repeat != Safe {
+		return 0
+	}
+	if len(r.base) == 0 {
+		return 1
+	}
+	fresh := 0.0
+	for _, s := range r.trial {
+		fresh += r.ramp(s)
+	}
+	places := float64(len(r.base))
+	if r.s.Rollout.Rolling {
+		places += float64(len(r.trial))
+	}
+	return min(trialPart*limit, carryPart*fresh/places)
+}
+
+// ---- Choice of a server ----
+
+// load is what two choices compare: attempts in flight, by size and warmth.
+func (r *Router) load(s *server) float64 {
+	n := float64(s.inFlight + 1)
+	for _, b := range s.peerBusy {
+		n += float64(b)
+	}
+	l := n / (max(s.Weight, 0.01) * r.ramp(s))
+	if s.Zone != r.s.Zone {
+		l += crossLoad * r.s.CrossZoneCost
+	}
+	return l
+}
+
+// pick makes two random choices among the usable servers of a group and takes the less loaded. Suspects
+// come into it only where nothing else is left.
+func (r *Router) pick(group []*server, q *request) *server {
+	var near, all, suspects []*server
+	for _, s := range group {
+		switch {
+		case !r.repeatOK(q, s) || !r.coldRoom(s, false):
+		case s == q.server || s.until > r.now:
+			suspects = append(suspects, s)
+		case s.Zone == r.s.Zone:
+			near, all = append(near, s), append(all, s)
+		default:
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		all = suspects
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	a, b := all[r.rng.IntN(len(all))], near[r.rng.IntN(len(near))]
+	if r.load(b) <= r.load(a) {
+		return b
+	}
+	return a
+}
+
+// repeatOK tells whether an attempt at this server would keep the rule on repeats.
+func (r *Router) repeatOK(q *request, s *server) bool {
+	if !q.mayRan {
+		return true
+	}
+	switch q.class.Repeat {
+	case Safe:
+		return true
+	case Unsafe:
+		return false
+	}
+	if r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow {
+		return false
+	}
+	return q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
+		q.class.Scope == ScopeCell && s.Cell == q.ranOn.Cell
+}
+
+// choose finds the server for a request's next attempt, or nil where it has to wait.
+func (r *Router) choose(q *request) *server {
+	floor := r.pinnedTo(q)
+	wanted := floor == r.trialID || q.draw && q.attempts == 0
+	if len(r.trial) > 0 && wanted && r.mayTry(r.trialID, q.class, false) {
+		if s := r.pick(r.trial, q); s != nil {
+			return s
+		}
+	}
+	if len(r.base) > 0 && r.base[0].Build >= floor {
+		if s := r.pick(r.base, q); s != nil {
+			return s
+		}
+	}
+	// Nothing of the ordinary build is left: the build on trial serves within its cap.
+	if len(r.base) == 0 && len(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
+		return r.pick(r.trial, q)
+	}
+	return nil
+}
+
+// pinnedTo is the lowest build that may serve the request's key (forward-only).
+func (r *Router) pinnedTo(q *request) BuildID {
+	if !r.s.Rollout.ForwardOnly || !q.HasKey {
+		return 0
+	}
+	if b := r.sticky[q.Key]; !r.bad[b] {
+		return b
+	}
+	return 0
+}
+
+// ---- The life of a request ----
+
+func (r *Router) arrive(e RequestArrived) {
+	c := r.classes[e.Class]
+	if c == nil { // a class outside the settings is treated as the strictest
+		c = &class{Class: Class{Name: e.Class, Repeat: Unsafe, Aim: e.Left, Deadline: e.Left, Worth: 1}}
+		r.classes[e.Class] = c
+	}
+	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
+	r.reqs[e.ID] = q
+	r.arrived++
+	r.retries = min(retryMax, r.retries+retryEarn)
+	if t := r.tenants[e.Tenant]; t != nil {
+		t.came++
+		if t.rate > overShareEdge*t.part*r.rate {
+			q.order *= r.s.OverShare
+		}
+	}
+	r.earn(c)
+	r.draw(q)
+	if !r.try(q) {
+		r.hold(q)
+	}
+}
+
+// draw decides by chance whether a first request tries the build on trial. Exception under forward-only:
+// keys that are already bound count first, and popular keys stay out of closed stages, since their
+// requests with an effect could then go nowhere.
+func (r *Router) draw(q *request) {
+	if r.trialID == 0 {
+		return
+	}
+	chance := r.trialChance(q.class)
+	if r.s.Rollout.ForwardOnly && q.HasKey {
+		r.seen[q.Key]++
+		pinned := r.sticky[q.Key] == r.trialID
+		q.class.pinned *= 0.98
+		if pinned {
+			q.class.pinned += 0.02
+			return
+		}
+		_, stage := r.trialCap(r.trialID)
+		if stage < r.s.Rollout.ClosedStages && r.seen[q.Key] > stickySeen {
+			return
+		}
+		chance = max(0, chance-q.class.pinned)
+	}
+	q.draw = r.rng.Float64() < chance
+}
+
+// try sends the next attempt if the limit and the rules leave a server for it.
+func (r *Router) try(q *request) bool {
+	if !r.relKnown || float64(r.inFlight) >= r.limitNow() {
+		return false
+	}
+	s := r.choose(q)
+	if s == nil {
+		return false
+	}
+	r.send(q, s)
+	return true
+}
+
+func (r *Router) send(q *request, s *server) {
+	if r.onTrial(s.Build) {
+		r.mayTry(s.Build, q.class, true)
+	}
+	r.coldRoom(s, true)
+	q.sentRel, q.sentTrial = r.rel, r.onTrial(s.Build)
+	q.server, q.sentAt, q.out = s, r.now, true
+	q.attempts++
+	s.inFlight++
+	r.inFlight++
+	r.do(Send{ID: q.ID, Server: s.ID, Timeout: r.timeout(q)})
+}
+
+// timeout bounds an attempt that may be repeated, so that a silent server costs part of the aim only.
+func (r *Router) timeout(q *request) time.Duration {
+	aimLeft := q.arrived + q.class.Aim - r.now
+	if q.class.Repeat == Unsafe || q.attempts >= r.s.MaxAttempts || r.retries < 1 {
+		return 0
+	}
+	want := time.Duration(retryPart * float64(q.class.Aim))
+	if aimLeft < want || q.deadline-r.now < want {
+		return 0
+	}
+	return want
+}
+
+func (r *Router) done(e AttemptDone) {
+	q := r.reqs[e.ID]
+	if q == nil || !q.out || e.Attempt != q.attempts-1 {
+		return
+	}
+	s := q.server
+	q.out = false
+	s.inFlight--
+	r.inFlight--
+	r.judgeServer(s, q, e)
+	r.evidence(q, e)
+	if e.Outcome == OK {
+		if r.s.Rollout.ForwardOnly && q.HasKey {
+			r.sticky[q.Key] = max(r.sticky[q.Key], s.Build)
+		}
+		q.class.took = mix(q.class.took, e.Took.Seconds())
+	}
+	if e.Outcome.MayHaveRun() && !q.mayRan {
+		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, s.Server
+	}
+	if e.Final || q.ended {
+		delete(r.reqs, q.ID)
+	} else {
+		r.again(q, e.Outcome)
+	}
+	r.drainQueue()
+}
+
+func mix(old, x float64) float64 {
+	if old == 0 {
+		return x
+	}
+	return 0.95*old + 0.05*x
+}
+
+// judgeServer draws what an outcome says of the server and of the load.
+func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
+	switch e.Outcome {
+	case OK, ServerError, Rejected:
+		s.clear()
+	case ConnectFailed, Reset:
+		r.blame(s, true)
+	case TimedOut:
+		r.blame(s, false)
+	}
+	if q.sentTrial && len(r.base) > 0 {
+		return
+	}
+	r.answers++
+	if e.Outcome == Rejected || e.Outcome == TimedOut || e.Outcome == OK && e.Took > q.class.Aim*8/10 {
+		r.late++
+	}
+}
+
+// again tries a request once more where its class permits it, or gives the final answer at once.
+func (r *Router) again(q *request, o Outcome) {
+	if r.deadlineNear(q) || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe {
+		r.finish(q)
+		return
+	}
+	if o == TimedOut || o == ServerError {
+		if r.retries < 1 {
+			r.finish(q)
+			return
+		}
+		r.retries--
+	}
+	if !r.try(q) {
+		r.hold(q)
+	}
+}
+
+func (r *Router) deadlineNear(q *request) bool { return r.now+2*tickEvery >= q.deadline }
+
+// finish gives the final answer: a refusal where trying again is harmless, else a failure.
+func (r *Router) finish(q *request) {
+	wait := time.Duration(0)
+	if r.s.RetryAfter {
+		wait = r.s.MaxRetryAfter / 2
+	}
+	if !q.mayRan || q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
+		r.do(Refuse{ID: q.ID, RetryAfter: wait})
+	} else {
+		r.do(Fail{ID: q.ID})
+	}
+	r.forget(q)
+}
+
+// forget drops a request that has ended; one with an attempt still out is kept for its outcome.
+func (r *Router) forget(q *request) {
+	q.ended = true
+	if !q.out {
+		delete(r.reqs, q.ID)
+	}
+}
+
+// ---- Overload: the limit and the queue ----
+
+func (r *Router) limitNow() float64 {
+	if r.limit == 0 {
+		return limitStart * float64(max(1, len(r.list)))
+	}
+	return r.limit
+}
+
+// adjustLimit bounds the attempts out by how quickly answers come: late ones cut it, timely ones raise it.
+func (r *Router) adjustLimit() {
+	if r.answers < 5 {
+		return
+	}
+	limit := r.limitNow()
+	if r.late > lateBad*r.answers {
+		limit *= limitCut
+	} else if float64(r.inFlight) > 0.7*limit {
+		limit++
+	}
+	r.limit = max(limit, 2, float64(len(r.list))/2)
+	r.answers, r.late = 0, 0
+}
+
+// hold queues a request, dearest first. Danger: a client may leave so little time that no tick comes in
+// between; such a request is answered at once.
+func (r *Router) hold(q *request) {
+	if r.deadlineNear(q) {
+		r.finish(q)
+		return
+	}
+	i, _ := slices.BinarySearchFunc(r.waiting, q, func(a, b *request) int {
+		if a.order != b.order {
+			return cmp.Compare(b.order, a.order)
+		}
+		return cmp.Compare(a.arrived, b.arrived)
+	})
+	r.waiting = slices.Insert(r.waiting, i, q)
+}
+
+// drainQueue sends what can go and ends at once what can no longer be served in time.
+func (r *Router) drainQueue() {
+	if len(r.waiting) == 0 {
+		return
+	}
+	held := r.waiting
+	r.waiting = nil
+	var keep []*request
+	for _, q := range held {
+		switch {
+		case q.ended:
+		case r.deadlineNear(q) || r.now+secs(q.class.took) > q.arrived+q.class.Aim:
+			r.finish(q)
+		case !r.try(q):
+			keep = append(keep, q)
+		}
+	}
+	r.waiting = keep
+}
+
+func secs(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+
+// ---- Evidence ----
+
+type peerKey struct {
+	peer        int
+	incarnation uint32
+}
+
+// evidence counts a first attempt of a class allowed at the present stage, in both arms alike, so that
+// the mix of classes cannot pass for harm. Servers that may be cold do not count.
+func (r *Router) evidence(q *request, e AttemptDone) {
+	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || r.rel.Phase != OnTrial ||
+		q.sentRel.Build != r.rel.Build || q.sentRel.Stage != r.rel.Stage || q.sentRel.Phase != OnTrial {
+		return
+	}
+	if r.rel.Stage < r.s.Rollout.ClosedStages && q.class.Repeat != Safe {
+		return
+	}
+	if q.server.Started != 0 && q.sentAt < q.server.Started+youngServer {
+		return
+	}
+	good := e.Outcome == OK && e.Took <= q.class.Aim
+	switch {
+	case q.server.Build == r.rel.Build && good:
+		r.counts.NewOK++
+	case q.server.Build == r.rel.Build:
+		r.counts.NewBad++
+	case good:
+		r.counts.OldOK++
+	default:
+		r.counts.OldBad++
+	}
+}
+
+// report sends the counts to the voters, and what is in flight to all.
+func (r *Router) report() {
+	if !r.s.CanPost || r.s.Peers < 2 || r.now < r.reportAt {
+		return
+	}
+	r.reportAt = r.now + reportEvery
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.rel.Stage, Counts: r.counts}
+	for _, s := range r.list {
+		if s.inFlight > 0 {
+			m.Busy = append(m.Busy, BusyServer{s.ID, s.inFlight})
+		}
+	}
+	r.do(Post{Peer: -1, Data: m.Encode()})
+}
+
+// hear takes a peer's report; what is malformed or impossible is dropped.
+func (r *Router) hear(e PeerMessage) {
+	m, err := DecodeReport(e.Data)
+	if err != nil || e.From < 0 || e.From >= r.s.Peers || e.From == r.s.Self ||
+		m.Stage >= len(r.s.Rollout.StageCap) {
+		return
+	}
+	k := peerKey{e.From, m.Incarnation}
+	had := r.peers[k]
+	if had.Build > m.Build || had.Build == m.Build && (had.Stage > m.Stage || had.Stage == m.Stage &&
+		(had.Counts.total() > m.Counts.total())) {
+		return // an older report, come late
+	}
+	r.peers[k] = m
+	for _, s := range r.list {
+		delete(s.peerBusy, e.From)
+	}
+	for _, b := range m.Busy {
+		if s := r.servers[b.Server]; s != nil {
+			s.peerBusy[e.From] = b.InFlight
+		}
+	}
+}
+
+func (c Counts) total() uint64 {
+	return uint64(c.OldOK) + uint64(c.OldBad) + uint64(c.NewOK) + uint64(c.NewBad)
+}
+
+// pooled sums the counts of the present stage over all routers and their incarnations.
+func (r *Router) pooled() Counts {
+	sum := r.counts
+	for _, m := range r.peers {
+		if m.Build == r.rel.Build && m.Stage == r.rel.Stage {
+			sum.OldOK += m.Counts.OldOK
+			sum.OldBad += m.Counts.OldBad
+			sum.NewOK += m.Counts.NewOK
+			sum.NewBad += m.Counts.NewBad
+		}
+	}
+	return sum
+}
+
+// ---- The test ----
+
+// harm gives the p-value of "the new build is not worse than the old one by more than the margin".
+func harm(rng *rand.Rand, c Counts, orderings int) float64 {
+	nNew, nOld := float64(c.NewOK+c.NewBad), float64(c.OldOK+c.OldBad)
+	n := nNew + nOld
+	if nNew == 0 || nOld == 0 {
+		return 1
+	}
+	mOld, mNew, p := float64(c.OldOK)/nOld, float64(c.NewOK)/nNew, nNew/n
+	mu := make([]float64, 0, int(n))
+	add := func(count uint32, v float64) {
+		for range count {
+			mu = append(mu, v)
+		}
+	}
+	diff := mOld - mNew - margin
+	add(c.OldOK, diff+(1-mOld)/(1-p))
+	add(c.OldBad, diff-mOld/(1-p))
+	add(c.NewOK, diff-(1-mNew)/p)
+	add(c.NewBad, diff+mNew/p)
+	mean, square := 0.0, 0.0
+	for _, v := range mu {
+		mean += v / n
+	}
+	for _, v := range mu {
+		square += (v - mean) * (v - mean)
+	}
+	if n < 2 || square < 1e-12 {
+		return 1 // sigma 0: nothing speaks against the build
+	}
+	scale := 1 / (math.Sqrt(n) * math.Sqrt(square/(n-1)))
+	t := 0.0
+	for range orderings {
+		rng.Shuffle(len(mu), func(i, j int) { mu[i], mu[j] = mu[j], mu[i] })
+		pb := math.Erfc(math.Abs(walk(mu, scale, rng.Uint64()&1 == 0)) / math.Sqrt2)
+		t += math.Tan((0.5-max(pb, 1e-15))*math.Pi) / float64(orderings)
+	}
+	return 0.5 - math.Atan(t)/math.Pi
+}
+
+// walk is the two-armed bandit's path: it adds while its sum is positive, else subtracts.
+func walk(mu []float64, scale float64, up bool) float64 {
+	sum := 0.0
+	for i, v := range mu {
+		if i == 0 && up || i > 0 && sum > 0 {
+			sum += v * scale
+		} else {
+			sum -= v * scale
+		}
+	}
+	return sum
+}
+
+// ---- Votes ----
+
+type voteState struct {
+	verdict Verdict
+	at      time.Duration // when the vote is to be cast, or cast again
+	out     time.Duration // when the vote now unanswered was cast; 0: none
+	tested  bool
+}
+
+// rank is this router's place among a build's voters, or -1.
+func (r *Router) rank(b BuildID) int {
+	rank, own := 0, voterHash(b, r.s.Self)
+	for i := range r.s.Peers {
+		if h := voterHash(b, i); h < own || h == own && i < r.s.Self {
+			rank++
+		}
+	}
+	if rank >= voters {
+		return -1
+	}
+	return rank
+}
+
+func voterHash(b BuildID, peer int) uint64 {
+	x := uint64(b)<<32 + uint64(peer) + 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// news takes the platform's word on the newest build, told unasked or in reply to a vote.
+func (r *Router) news(e ReleaseStatus) {
+	if e.IsReply {
+		r.vote.out = 0
+		r.vote.at = r.now + voteRetry
+		if e.Reply == VoteCounts {
+			r.vote.at = r.now + max(r.s.Rollout.VoteTTL-voteRenew, voteRetry)
+		} else {
+			return // only a vote that counts brings news
+		}
+	}
+	if r.relKnown && e.Build < r.rel.Build {
+		return
+	}
+	was, known := r.rel, r.relKnown
+	r.rel, r.relKnown = e, true
+	if e.Phase == GoingBack || e.Phase == Withdrawn {
+		r.bad[e.Build] = true
+	} else {
+		delete(r.bad, e.Build)
+	}
+	if known && was.Build == e.Build && e.Cap < was.Cap {
+		for k, b := range r.budgets {
+			if k.build == e.Build {
+				b.earned = 0
+			}
+		}
+	}
+	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
+		r.counts, r.vote = Counts{}, voteState{}
+		r.stageAt = r.now
+		if known && was.Build == e.Build || !known {
+			r.listedAt = 0
+		}
+		clear(r.seen)
+	}
+	r.regroup()
+	r.drainQueue()
+}
+
+// ballot tests once a stage, at the horizon or by time-out, and casts or renews the vote.
+func (r *Router) ballot() {
+	if !r.relKnown || r.rel.Phase != OnTrial {
+		return
+	}
+	rank := r.rank(r.rel.Build)
+	if rank < 0 {
+		return
+	}
+	v := &r.vote
+	if !v.tested {
+		c := r.pooled()
+		due := r.stageAt + launchWait
+		if r.listedAt > r.stageAt {
+			due = r.listedAt + stageTimeout
+		}
+		if c.NewOK+c.NewBad < horizon && r.now < due {
+			return
+		}
+		v.tested, v.verdict = true, VoteOn
+		wait := voteStagger
+		if harm(r.rng, c, orderings) < level {
+			v.verdict, wait = VoteBack, backStagger
+		}
+		v.at = r.now + time.Duration(rank)*wait
+	}
+	if v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
+		return
+	}
+	v.out = r.now
+	r.do(Vote{Build: r.rel.Build, Stage: r.rel.Stage, Verdict: v.verdict})
+}
