--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,11 @@
 	coldPart      = 0.6  // part of a cold server's fall budget that all routers together may use
 	crossLoad     = 12.0 // attempts in flight that one point of cross-zone price is worth
 	carryPart     = 1.25 // the trial share may exceed the new build's part of the fleet this much
+	guardEvery    = time.Second
+	guardErrors   = 4    // fewer errors than this say nothing
+	slowPart      = 0.75 // of the answers before a trial were faster than the mark
+	slowMargin    = 0.1  // more slow answers than this, beyond the old build's, are harm
+	busyFade      = 0.8  // of peers' attempts out, each report period
 	limitStart    = 3.0  // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
@@ -78,7 +83,7 @@
 	retries, rate, arrived float64 // repeats earned; requests a second, smoothed; since the last tick
 
 	incarnation                 uint32
-	counts                      Counts // own, of the present stage
+	counts, total               Counts // own, of the present stage and of the build
 	peers                       map[peerKey]Report
 	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
 	vote                        voteState
@@ -86,8 +91,11 @@
 
 type class struct {
 	Class
-	took   float64 // mean time of served attempts in seconds, smoothed
-	pinned float64 // share of requests whose key is bound to the build on trial, smoothed
+	took   float64     // mean time of served attempts in seconds, smoothed
+	pinned float64     // share of requests whose key is bound to the build on trial, smoothed
+	times  [64]float64 // of the latest answers before a trial, a ring
+	next   int
+	mark   float64 // slower than this is slow; 0: not known
 }
 
 type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
@@ -135,7 +143,9 @@
 	if !r.begun {
 		r.begun = true
 		r.do(SetTimer{After: tickEvery, Token: 1})
-		r.watch()
+		if r.s.AskDiscovery {
+			r.do(Watch{})
+		}
 	}
 	switch e := e.(type) {
 	case ServersListed:
@@ -160,12 +170,6 @@
 
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
-func (r *Router) watch() {
-	if r.s.AskDiscovery {
-		r.do(Watch{})
-	}
-}
-
 // tick does what only time brings: rates, the limit, the queue, reports and votes.
 func (r *Router) tick() {
 	r.do(SetTimer{After: tickEvery, Token: 1})
@@ -187,18 +191,15 @@
 
 type server struct {
 	Server
-	inFlight int
-	peerBusy map[int]int // attempts that peers have out there
-	fails    int         // in a row
-	pause    time.Duration
-	until    time.Duration // suspect until then
-	spent    float64       // cold budget used, in requests
-	spentAt  time.Duration
+	inFlight, fails       int           // attempts out; failures in a row
+	peerBusy              []float64     // attempts that peers have out there, fading
+	pause, until, spentAt time.Duration // suspect until then; see coldRoom
+	spent                 float64       // cold budget used, in requests
 }
 
 func (r *Router) listed(e ServersListed) {
 	if e.Failed {
-		r.watch()
+		r.do(Watch{}) // only who asked is told of a failure
 		return
 	}
 	named := map[ServerID]bool{}
@@ -208,31 +209,31 @@
 		switch {
 		case entry.State == Gone:
 			delete(r.servers, entry.ID)
-		case have == nil || have.Build != entry.Build || have.Started != entry.Started:
-			fresh := &server{Server: entry, peerBusy: map[int]int{}}
-			if have != nil {
-				fresh.inFlight = have.inFlight
-			}
-			r.servers[entry.ID] = fresh
-			if entry.Build >= r.rel.Build && r.begun {
-				r.listedAt = r.now
-			}
+		case have == nil:
+			r.servers[entry.ID] = &server{Server: entry, peerBusy: make([]float64, r.s.Peers)}
+		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
+			have.clear()
+			have.spent, have.Server = 0, entry
 		default:
-			have.Server = entry
+			have.State, have.Weight = entry.State, entry.Weight
+			continue
 		}
-	}
-	if e.Full {
-		for id := range r.servers {
-			if !named[id] {
-				delete(r.servers, id)
-			}
+		if entry.Build >= r.rel.Build {
+			r.listedAt = r.now
 		}
 	}
 	r.list = r.list[:0]
-	for _, s := range r.servers {
+	for id, s := range r.servers {
+		if e.Full && !named[id] {
+			delete(r.servers, id)
+			continue
+		}
 		r.list = append(r.list, s)
 	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	if r.limit == 0 {
+		r.limit = limitStart * float64(len(r.list))
+	}
 	r.regroup()
 	r.drainQueue()
 }
@@ -258,24 +259,21 @@
 	depth := max(1, rate*r.s.FallTime.Seconds()/2)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
 	s.spentAt = r.now
-	if s.spent+1 > depth+1e-9 {
-		return false
-	}
 	if spend {
 		s.spent++
 	}
-	return true
+	return s.spent+1 <= depth+1e-9
 }
 
-// blame notes a failure that may mean that the server does not answer. Covers dead, silent and cut-off
-// servers alike; it hurts where a healthy server is slow for one request, hence failures in a row.
+// blame notes a failure that may be the server's own. Danger: a server that fails at once looks idle and
+// draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike; it hurts
+// where a healthy server fails one request in a row with another, so the first pauses are short.
 func (r *Router) blame(s *server, sure bool) {
 	s.fails++
-	if s.fails < suspectAfter && !sure {
-		return
+	if sure || s.fails >= suspectAfter {
+		s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
+		s.until = r.now + s.pause
 	}
-	s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
-	s.until = r.now + s.pause
 }
 
 func (s *server) clear() { s.fails, s.pause, s.until = 0, 0, 0 }
@@ -313,13 +311,10 @@
 
 // trialCap is the cap and stage that bind for a build that is not released.
 func (r *Router) trialCap(build BuildID) (float64, int) {
-	if r.relKnown && build == r.rel.Build {
+	if build == r.rel.Build || len(r.s.Rollout.StageCap) == 0 {
 		return r.rel.Cap, r.rel.Stage
 	}
-	if len(r.s.Rollout.StageCap) > 0 {
-		return r.s.Rollout.StageCap[0], 0 // not yet named: counts as in the first stage
-	}
-	return 0, 0
+	return r.s.Rollout.StageCap[0], 0 // not yet named: counts as in the first stage
 }
 
 // onTrial tells whether the rule on exposure binds a build. Nothing is sent before the first news.
@@ -415,7 +410,7 @@
 func (r *Router) load(s *server) float64 {
 	n := float64(s.inFlight + 1)
 	for _, b := range s.peerBusy {
-		n += float64(b)
+		n += b
 	}
 	l := n / (max(s.Weight, 0.01) * r.ramp(s))
 	if s.Zone != r.s.Zone {
@@ -457,16 +452,10 @@
 
 // repeatOK tells whether an attempt at this server would keep the rule on repeats.
 func (r *Router) repeatOK(q *request, s *server) bool {
-	if !q.mayRan {
-		return true
-	}
-	switch q.class.Repeat {
-	case Safe:
+	if !q.mayRan || q.class.Repeat == Safe {
 		return true
-	case Unsafe:
-		return false
 	}
-	if r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow {
+	if q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow {
 		return false
 	}
 	return q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
@@ -557,18 +546,13 @@
 
 // try sends the next attempt if the limit and the rules leave a server for it.
 func (r *Router) try(q *request) bool {
-	if !r.relKnown || float64(r.inFlight) >= r.limitNow() {
+	if !r.relKnown || float64(r.inFlight) >= r.limit {
 		return false
 	}
 	s := r.choose(q)
 	if s == nil {
 		return false
 	}
-	r.send(q, s)
-	return true
-}
-
-func (r *Router) send(q *request, s *server) {
 	if r.onTrial(s.Build) {
 		r.mayTry(s.Build, q.class, true)
 	}
@@ -579,16 +563,14 @@
 	s.inFlight++
 	r.inFlight++
 	r.do(Send{ID: q.ID, Server: s.ID, Timeout: r.timeout(q)})
+	return true
 }
 
 // timeout bounds an attempt that may be repeated, so that a silent server costs part of the aim only.
 func (r *Router) timeout(q *request) time.Duration {
-	aimLeft := q.arrived + q.class.Aim - r.now
-	if q.class.Repeat == Unsafe || q.attempts >= r.s.MaxAttempts || r.retries < 1 {
-		return 0
-	}
 	want := time.Duration(retryPart * float64(q.class.Aim))
-	if aimLeft < want || q.deadline-r.now < want {
+	if q.class.Repeat == Unsafe || q.attempts >= r.s.MaxAttempts || r.retries < 1 ||
+		r.now+want > min(q.arrived+q.class.Aim, q.deadline) {
 		return 0
 	}
 	return want
@@ -609,7 +591,7 @@
 		if r.s.Rollout.ForwardOnly && q.HasKey {
 			r.sticky[q.Key] = max(r.sticky[q.Key], s.Build)
 		}
-		q.class.took = mix(q.class.took, e.Took.Seconds())
+		q.class.took += 0.05 * (e.Took.Seconds() - q.class.took)
 	}
 	if e.Outcome.MayHaveRun() && !q.mayRan {
 		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, s.Server
@@ -622,21 +604,14 @@
 	r.drainQueue()
 }
 
-func mix(old, x float64) float64 {
-	if old == 0 {
-		return x
-	}
-	return 0.95*old + 0.05*x
-}
-
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	switch e.Outcome {
-	case OK, ServerError, Rejected:
+	case OK, Rejected:
 		s.clear()
 	case ConnectFailed, Reset:
 		r.blame(s, true)
-	case TimedOut:
+	case TimedOut, ServerError:
 		r.blame(s, false)
 	}
 	if q.sentTrial && len(r.base) > 0 {
@@ -650,15 +625,13 @@
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
 func (r *Router) again(q *request, o Outcome) {
-	if r.deadlineNear(q) || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe {
+	costly := o == TimedOut || o == ServerError
+	if r.deadlineNear(q) || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe ||
+		costly && r.retries < 1 {
 		r.finish(q)
 		return
 	}
-	if o == TimedOut || o == ServerError {
-		if r.retries < 1 {
-			r.finish(q)
-			return
-		}
+	if costly {
 		r.retries--
 	}
 	if !r.try(q) {
@@ -692,25 +665,17 @@
 
 // ---- Overload: the limit and the queue ----
 
-func (r *Router) limitNow() float64 {
-	if r.limit == 0 {
-		return limitStart * float64(max(1, len(r.list)))
-	}
-	return r.limit
-}
-
 // adjustLimit bounds the attempts out by how quickly answers come: late ones cut it, timely ones raise it.
 func (r *Router) adjustLimit() {
 	if r.answers < 5 {
 		return
 	}
-	limit := r.limitNow()
 	if r.late > lateBad*r.answers {
-		limit *= limitCut
-	} else if float64(r.inFlight) > 0.7*limit {
-		limit++
+		r.limit *= limitCut
+	} else if float64(r.inFlight) > 0.7*r.limit {
+		r.limit++
 	}
-	r.limit = max(limit, 2, float64(len(r.list))/2)
+	r.limit = max(r.limit, 2, float64(len(r.list))/2)
 	r.answers, r.late = 0, 0
 }
 
@@ -741,7 +706,7 @@
 	for _, q := range held {
 		switch {
 		case q.ended:
-		case r.deadlineNear(q) || r.now+secs(q.class.took) > q.arrived+q.class.Aim:
+		case r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim:
 			r.finish(q)
 		case !r.try(q):
 			keep = append(keep, q)
@@ -750,8 +715,6 @@
 	r.waiting = keep
 }
 
-func secs(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
-
 // ---- Evidence ----
 
 type peerKey struct {
@@ -760,28 +723,53 @@
 }
 
 // evidence counts a first attempt of a class allowed at the present stage, in both arms alike, so that
-// the mix of classes cannot pass for harm. Servers that may be cold do not count.
+// the mix of classes cannot pass for harm. Servers that may be cold do not count. The totals go on after
+// the release, for the guard.
 func (r *Router) evidence(q *request, e AttemptDone) {
-	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || r.rel.Phase != OnTrial ||
-		q.sentRel.Build != r.rel.Build || q.sentRel.Stage != r.rel.Stage || q.sentRel.Phase != OnTrial {
+	took := e.Took.Seconds()
+	if q.sentRel.Phase != OnTrial && e.Outcome == OK {
+		q.class.times[q.class.next%len(q.class.times)] = took
+		q.class.next++
+	}
+	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || q.sentRel.Build != r.rel.Build {
 		return
 	}
-	if r.rel.Stage < r.s.Rollout.ClosedStages && q.class.Repeat != Safe {
+	if r.rel.Stage < r.s.Rollout.ClosedStages && r.rel.Phase == OnTrial && q.class.Repeat != Safe {
 		return
 	}
 	if q.server.Started != 0 && q.sentAt < q.server.Started+youngServer {
 		return
 	}
-	good := e.Outcome == OK && e.Took <= q.class.Aim
-	switch {
-	case q.server.Build == r.rel.Build && good:
-		r.counts.NewOK++
-	case q.server.Build == r.rel.Build:
-		r.counts.NewBad++
-	case good:
-		r.counts.OldOK++
-	default:
-		r.counts.OldBad++
+	one := Arm{N: 1, Miss: 1}
+	if e.Outcome == OK && e.Took <= q.class.Aim {
+		one.Miss = 0
+	}
+	if e.Outcome == ServerError {
+		one.Err = 1
+	}
+	if q.class.mark > 0 && took > q.class.mark {
+		one.Slow = 1
+	}
+	add := Counts{Old: one}
+	if q.server.Build == r.rel.Build {
+		add = Counts{New: one}
+	}
+	if r.rel.Phase == OnTrial || q.server.Build == r.rel.Build {
+		r.total.plus(add)
+	}
+	if r.rel.Phase == OnTrial && q.sentRel.Phase == OnTrial && q.sentRel.Stage == r.rel.Stage {
+		r.counts.plus(add)
+	}
+}
+
+// setMarks keeps, at the start of a trial, the time that slowPart of the answers of each class stayed
+// under before it.
+func (r *Router) setMarks() {
+	for _, c := range r.classes {
+		if n := min(c.next, len(c.times)); n >= len(c.times)/4 {
+			sorted := slices.Sorted(slices.Values(c.times[:n]))
+			c.mark = sorted[int(slowPart*float64(n))]
+		}
 	}
 }
 
@@ -791,8 +779,12 @@
 		return
 	}
 	r.reportAt = r.now + reportEvery
-	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.rel.Stage, Counts: r.counts}
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.rel.Stage, Counts: r.counts,
+		Total: r.total}
 	for _, s := range r.list {
+		for i := range s.peerBusy {
+			s.peerBusy[i] *= busyFade // a silent peer's attempts do not count for long
+		}
 		if s.inFlight > 0 {
 			m.Busy = append(m.Busy, BusyServer{s.ID, s.inFlight})
 		}
@@ -810,48 +802,45 @@
 	k := peerKey{e.From, m.Incarnation}
 	had := r.peers[k]
 	if had.Build > m.Build || had.Build == m.Build && (had.Stage > m.Stage || had.Stage == m.Stage &&
-		(had.Counts.total() > m.Counts.total())) {
+		had.Total.size() > m.Total.size()) {
 		return // an older report, come late
 	}
 	r.peers[k] = m
 	for _, s := range r.list {
-		delete(s.peerBusy, e.From)
+		s.peerBusy[e.From] = 0
 	}
 	for _, b := range m.Busy {
 		if s := r.servers[b.Server]; s != nil {
-			s.peerBusy[e.From] = b.InFlight
+			s.peerBusy[e.From] = float64(b.InFlight)
 		}
 	}
 }
 
-func (c Counts) total() uint64 {
-	return uint64(c.OldOK) + uint64(c.OldBad) + uint64(c.NewOK) + uint64(c.NewBad)
-}
-
-// pooled sums the counts of the present stage over all routers and their incarnations.
-func (r *Router) pooled() Counts {
-	sum := r.counts
+// pooled sums the counts of the present stage and build over all routers and their incarnations.
+func (r *Router) pooled() (stage, total Counts) {
+	stage, total = r.counts, r.total
 	for _, m := range r.peers {
-		if m.Build == r.rel.Build && m.Stage == r.rel.Stage {
-			sum.OldOK += m.Counts.OldOK
-			sum.OldBad += m.Counts.OldBad
-			sum.NewOK += m.Counts.NewOK
-			sum.NewBad += m.Counts.NewBad
+		if m.Build == r.rel.Build {
+			total.plus(m.Total)
+			if m.Stage == r.rel.Stage {
+				stage.plus(m.Counts)
+			}
 		}
 	}
-	return sum
+	return stage, total
 }
 
 // ---- The test ----
 
-// harm gives the p-value of "the new build is not worse than the old one by more than the margin".
-func harm(rng *rand.Rand, c Counts, orderings int) float64 {
-	nNew, nOld := float64(c.NewOK+c.NewBad), float64(c.OldOK+c.OldBad)
+// harm gives the p-value of "the new build has not a larger part of bad outcomes than the old one, by more
+// than the margin".
+func harm(rng *rand.Rand, oldN, oldBad, newN, newBad uint32, margin float64) float64 {
+	nNew, nOld := float64(newN), float64(oldN)
 	n := nNew + nOld
 	if nNew == 0 || nOld == 0 {
 		return 1
 	}
-	mOld, mNew, p := float64(c.OldOK)/nOld, float64(c.NewOK)/nNew, nNew/n
+	mOld, mNew, p := 1-float64(oldBad)/nOld, 1-float64(newBad)/nNew, nNew/n
 	mu := make([]float64, 0, int(n))
 	add := func(count uint32, v float64) {
 		for range count {
@@ -859,16 +848,13 @@
 		}
 	}
 	diff := mOld - mNew - margin
-	add(c.OldOK, diff+(1-mOld)/(1-p))
-	add(c.OldBad, diff-mOld/(1-p))
-	add(c.NewOK, diff-(1-mNew)/p)
-	add(c.NewBad, diff+mNew/p)
-	mean, square := 0.0, 0.0
-	for _, v := range mu {
-		mean += v / n
-	}
+	add(oldN-oldBad, diff+(1-mOld)/(1-p))
+	add(oldBad, diff-mOld/(1-p))
+	add(newN-newBad, diff-(1-mNew)/p)
+	add(newBad, diff+mNew/p)
+	square := 0.0 // the mean of mu is diff, since the residuals of each arm sum to nothing
 	for _, v := range mu {
-		square += (v - mean) * (v - mean)
+		square += (v - diff) * (v - diff)
 	}
 	if n < 2 || square < 1e-12 {
 		return 1 // sigma 0: nothing speaks against the build
@@ -903,6 +889,7 @@
 	at      time.Duration // when the vote is to be cast, or cast again
 	out     time.Duration // when the vote now unanswered was cast; 0: none
 	tested  bool
+	guardAt time.Duration
 }
 
 // rank is this router's place among a build's voters, or -1.
@@ -955,6 +942,10 @@
 		}
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
+		if known && was.Build != e.Build || was.Phase != OnTrial && e.Phase == OnTrial {
+			r.total = Counts{}
+			r.setMarks()
+		}
 		r.counts, r.vote = Counts{}, voteState{}
 		r.stageAt = r.now
 		if known && was.Build == e.Build || !known {
@@ -966,35 +957,49 @@
 	r.drainQueue()
 }
 
-// ballot tests once a stage, at the horizon or by time-out, and casts or renews the vote.
+// ballot tests once a stage, at the horizon or by time-out, and casts or renews the vote. The guard may
+// send a build back at any time until the next is offered.
 func (r *Router) ballot() {
-	if !r.relKnown || r.rel.Phase != OnTrial {
-		return
-	}
 	rank := r.rank(r.rel.Build)
-	if rank < 0 {
+	if !r.relKnown || rank < 0 || r.rel.Phase != OnTrial && r.rel.Phase != Released {
 		return
 	}
 	v := &r.vote
-	if !v.tested {
-		c := r.pooled()
+	stage, total := r.pooled()
+	if v.verdict != VoteBack && r.now >= v.guardAt {
+		v.guardAt = r.now + guardEvery
+		if r.guard(total) {
+			v.tested, v.verdict, v.at = true, VoteBack, r.now+time.Duration(rank)*backStagger
+		}
+	}
+	if !v.tested && r.rel.Phase == OnTrial {
 		due := r.stageAt + launchWait
 		if r.listedAt > r.stageAt {
 			due = r.listedAt + stageTimeout
 		}
-		if c.NewOK+c.NewBad < horizon && r.now < due {
+		if stage.New.N < horizon && r.now < due {
 			return
 		}
 		v.tested, v.verdict = true, VoteOn
 		wait := voteStagger
-		if harm(r.rng, c, orderings) < level {
+		old, fresh := stage.Old, stage.New
+		if harm(r.rng, old.N, old.Miss, fresh.N, fresh.Miss, margin) < level ||
+			harm(r.rng, old.N, old.Slow, fresh.N, fresh.Slow, slowMargin) < level {
 			v.verdict, wait = VoteBack, backStagger
 		}
 		v.at = r.now + time.Duration(rank)*wait
 	}
-	if v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
+	if !v.tested || v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
 		return
 	}
 	v.out = r.now
 	r.do(Vote{Build: r.rel.Build, Stage: r.rel.Stage, Verdict: v.verdict})
 }
+
+// guard is the exception for builds that turn bad after their test: late, under load, or for a class that
+// was closed. It asks the same walk whether the new build answers with errors more often than the old one
+// did. Healthy builds hardly ever do, whatever the load, so asking often costs good builds little.
+func (r *Router) guard(c Counts) bool {
+	return c.New.Err >= guardErrors &&
+		harm(r.rng, c.Old.N, c.Old.Err, c.New.N, c.New.Err, margin) < level
+}
--- a/logic/report.go
+++ b/logic/report.go
@@ -5,16 +5,21 @@
 	"errors"
 )
 
-// Counts are attempts of both arms: served within the aim, and the rest.
-type Counts struct{ OldOK, OldBad, NewOK, NewBad uint32 }
+// Arm counts first attempts at one build: all, those not served within the aim, those answered with an
+// error, and those slower than the mark kept from before the trial.
+type Arm struct{ N, Miss, Err, Slow uint32 }
 
-// Report is one router's cumulative counts for one stage of one build. The incarnation tells a restarted
-// router's counts from those it gave before.
+// Counts holds both arms of a trial.
+type Counts struct{ Old, New Arm }
+
+// Report is one router's cumulative counts for one stage of one build, and for all its stages so far. The
+// incarnation tells a restarted router's counts from those it gave before.
 type Report struct {
 	Incarnation uint32
 	Build       BuildID
 	Stage       int
-	Counts      Counts
+	Counts      Counts // of the stage
+	Total       Counts // of the build
 	Busy        []BusyServer
 }
 
@@ -26,24 +31,48 @@
 
 const (
 	reportVersion = 1
-	maxCount      = 1 << 24 // no router counts this many attempts in a stage
+	reportHead    = 8
+	busySize      = 5
+	maxCount      = 1 << 24 // no router counts this many attempts in a trial
 	maxReport     = 256     // the longest message peers accept
 )
 
 var errReport = errors.New("malformed report")
 
+func (a *Arm) plus(b Arm) {
+	a.N, a.Miss, a.Err, a.Slow = a.N+b.N, a.Miss+b.Miss, a.Err+b.Err, a.Slow+b.Slow
+}
+
+func (c *Counts) plus(d Counts) {
+	c.Old.plus(d.Old)
+	c.New.plus(d.New)
+}
+
+func (c Counts) size() uint32 { return c.Old.N + c.New.N }
+
+// possible tells whether counts can be cumulative counts of attempts.
+func (a Arm) possible() bool {
+	return a.N <= maxCount && a.Miss <= a.N && a.Err <= a.Miss && a.Slow <= a.N
+}
+
+func (r *Report) arms() []*Arm {
+	return []*Arm{&r.Counts.Old, &r.Counts.New, &r.Total.Old, &r.Total.New}
+}
+
 // Encode gives the report's bytes, leaving out the busy servers that no longer fit.
 func (r Report) Encode() []byte {
-	b := make([]byte, 0, 64)
+	b := make([]byte, 0, 128)
 	b = append(b, reportVersion)
 	b = binary.BigEndian.AppendUint32(b, r.Incarnation)
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Build))
 	b = append(b, byte(r.Stage))
-	for _, c := range []uint32{r.Counts.OldOK, r.Counts.OldBad, r.Counts.NewOK, r.Counts.NewBad} {
-		b = binary.AppendUvarint(b, uint64(c))
+	for _, a := range r.arms() {
+		for _, c := range []uint32{a.N, a.Miss, a.Err, a.Slow} {
+			b = binary.AppendUvarint(b, uint64(c))
+		}
 	}
 	for _, s := range r.Busy {
-		if len(b)+5 > maxReport {
+		if len(b)+busySize > maxReport {
 			break
 		}
 		b = binary.BigEndian.AppendUint32(b, uint32(s.Server))
@@ -54,23 +83,28 @@
 
 // DecodeReport reads a report; anything malformed, of another version or with impossible counts is an error.
 func DecodeReport(b []byte) (Report, error) {
-	if len(b) < 8 || len(b) > maxReport || b[0] != reportVersion {
+	if len(b) < reportHead || len(b) > maxReport || b[0] != reportVersion {
 		return Report{}, errReport
 	}
 	r := Report{Incarnation: binary.BigEndian.Uint32(b[1:]), Build: BuildID(binary.BigEndian.Uint16(b[5:])),
 		Stage: int(b[7])}
-	b = b[8:]
-	for _, dst := range []*uint32{&r.Counts.OldOK, &r.Counts.OldBad, &r.Counts.NewOK, &r.Counts.NewBad} {
-		n, size := binary.Uvarint(b)
-		if size <= 0 || n > maxCount {
+	b = b[reportHead:]
+	for _, a := range r.arms() {
+		for _, dst := range []*uint32{&a.N, &a.Miss, &a.Err, &a.Slow} {
+			n, size := binary.Uvarint(b)
+			if size <= 0 || n > maxCount {
+				return Report{}, errReport
+			}
+			*dst, b = uint32(n), b[size:]
+		}
+		if !a.possible() {
 			return Report{}, errReport
 		}
-		*dst, b = uint32(n), b[size:]
 	}
-	if len(b)%5 != 0 {
+	if len(b)%busySize != 0 {
 		return Report{}, errReport
 	}
-	for ; len(b) > 0; b = b[5:] {
+	for ; len(b) > 0; b = b[busySize:] {
 		r.Busy = append(r.Busy, BusyServer{ServerID(binary.BigEndian.Uint32(b)), int(b[4])})
 	}
 	return r, nil
