--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,16 +39,20 @@
 	retryMax      = 8.0                     // and kept at most
 	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
 	suspectLast   = 8 * time.Second
-	suspectAfter  = 2    // failures in a row that make a server suspect
-	coldPart      = 0.6  // part of a cold server's fall budget that all routers together may use
-	crossLoad     = 12.0 // attempts in flight that one point of cross-zone price is worth
-	carryPart     = 1.25 // the trial share may exceed the new build's part of the fleet this much
-	guardEvery    = time.Second
-	guardErrors   = 4    // fewer errors than this say nothing
-	slowPart      = 0.75 // of the answers before a trial were faster than the mark
-	slowMargin    = 0.1  // more slow answers than this, beyond the old build's, are harm
-	busyFade      = 0.8  // of peers' attempts out, each report period
-	limitStart    = 3.0  // concurrency limit at start, attempts a server
+	suspectAfter  = 2                // failures in a row that make a server suspect
+	coldPart      = 0.6              // part of a cold server's fall budget that all routers together may use
+	crossLoad     = 12.0             // attempts in flight that one point of cross-zone price is worth
+	carryPart     = 1.0              // the trial share may exceed the new build's part of the fleet this much
+	guardEvery    = time.Second      // pause between the guards' tests
+	guardErrors   = 4                // fewer errors than this say nothing
+	slowPart      = 0.75             // of the answers before a trial were faster than the mark
+	fleetCap      = 0.4              // with less traffic a build hardly slows a fleet
+	fleetTime     = 10 * time.Second // after the release; later slowness has other causes
+	busyDemand    = 1.25             // beyond this multiple of the usual requests, slowness is laid to them
+	fleetMargin   = 0.3              // more slow answers than before the trial, by this, are harm to the fleet
+	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
+	busyFade      = 0.8              // of peers' attempts out, each report period
+	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	stickySeen    = 2   // under forward-only a key met more often than this does not try a closed stage
@@ -76,11 +80,12 @@
 	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
 	seen    map[uint64]int     // forward-only: how often a key came in this stage
 
-	reqs                   map[RequestID]*request
-	waiting                []*request
-	inFlight               int
-	limit, answers, late   float64 // the concurrency limit, and outcomes since it was last set
-	retries, rate, arrived float64 // repeats earned; requests a second, smoothed; since the last tick
+	reqs                    map[RequestID]*request
+	waiting                 []*request
+	inFlight                int
+	limit, answers, late    float64 // the concurrency limit, and outcomes since it was last set
+	retries, rate, arrived  float64 // repeats earned; requests a second, smoothed; since the last tick
+	demand, usual, unserved float64 // requests less those that clients repeat; before the trial; since the tick
 
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
@@ -111,7 +116,7 @@
 	sentAt, ranAt     time.Duration // the last send; the send of the first attempt that may have run
 	sentRel           ReleaseStatus // the release as known at the send
 	sentTrial         bool
-	ranOn             Server
+	to, ranOn         Server // the server as listed at the send; at the first that may have run
 	mayRan            bool
 	draw, ended       bool // drawn for the build on trial; answered or gone
 }
@@ -162,6 +167,8 @@
 		r.tick()
 	case PeerMessage:
 		r.hear(e)
+	case AnswerDisputed:
+		r.disputed(e)
 	case ReleaseStatus:
 		r.news(e)
 	}
@@ -175,7 +182,8 @@
 	r.do(SetTimer{After: tickEvery, Token: 1})
 	keep := math.Exp(-tickEvery.Seconds() / 2)
 	r.rate = r.rate*keep + r.arrived/tickEvery.Seconds()*(1-keep)
-	r.arrived = 0
+	r.demand = r.demand*keep + (r.arrived-r.unserved)/tickEvery.Seconds()*(1-keep)
+	r.arrived, r.unserved = 0, 0
 	for _, t := range r.s.Tenants {
 		own := r.tenants[t.Name]
 		own.rate = own.rate*keep + own.came/tickEvery.Seconds()*(1-keep)
@@ -298,15 +306,11 @@
 	if r.s.Rollout.PerClass {
 		k.class = c.Name
 	}
-	b := r.budgets[k]
-	if b == nil {
-		b = &budget{}
-		for range int(r.s.Rollout.Free) - 1 { // one is kept for what requests have earned
-			b.slots = append(b.slots, r.now-2*r.s.Rollout.Window)
-		}
-		r.budgets[k] = b
+	if r.budgets[k] == nil { // one free attempt is kept for what requests have earned
+		used := slices.Repeat([]time.Duration{r.now - 2*r.s.Rollout.Window}, max(0, int(r.s.Rollout.Free)-1))
+		r.budgets[k] = &budget{slots: used}
 	}
-	return b
+	return r.budgets[k]
 }
 
 // trialCap is the cap and stage that bind for a build that is not released.
@@ -435,7 +439,7 @@
 		}
 	}
 	if len(all) == 0 {
-		all = suspects
+		near, all = nil, suspects
 	}
 	if len(all) == 0 {
 		return nil
@@ -444,10 +448,7 @@
 		near = all
 	}
 	a, b := all[r.rng.IntN(len(all))], near[r.rng.IntN(len(near))]
-	if r.load(b) <= r.load(a) {
-		return b
-	}
-	return a
+	return slices.MinFunc([]*server{b, a}, func(x, y *server) int { return cmp.Compare(r.load(x), r.load(y)) })
 }
 
 // repeatOK tells whether an attempt at this server would keep the rule on repeats.
@@ -558,7 +559,7 @@
 	}
 	r.coldRoom(s, true)
 	q.sentRel, q.sentTrial = r.rel, r.onTrial(s.Build)
-	q.server, q.sentAt, q.out = s, r.now, true
+	q.server, q.to, q.sentAt, q.out = s, s.Server, r.now, true
 	q.attempts++
 	s.inFlight++
 	r.inFlight++
@@ -589,12 +590,12 @@
 	r.evidence(q, e)
 	if e.Outcome == OK {
 		if r.s.Rollout.ForwardOnly && q.HasKey {
-			r.sticky[q.Key] = max(r.sticky[q.Key], s.Build)
+			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
 		}
 		q.class.took += 0.05 * (e.Took.Seconds() - q.class.took)
 	}
 	if e.Outcome.MayHaveRun() && !q.mayRan {
-		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, s.Server
+		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, q.to
 	}
 	if e.Final || q.ended {
 		delete(r.reqs, q.ID)
@@ -658,6 +659,7 @@
 // forget drops a request that has ended; one with an attempt still out is kept for its outcome.
 func (r *Router) forget(q *request) {
 	q.ended = true
+	r.unserved++ // its client may well come again
 	if !q.out {
 		delete(r.reqs, q.ID)
 	}
@@ -687,78 +689,57 @@
 		return
 	}
 	i, _ := slices.BinarySearchFunc(r.waiting, q, func(a, b *request) int {
-		if a.order != b.order {
-			return cmp.Compare(b.order, a.order)
-		}
-		return cmp.Compare(a.arrived, b.arrived)
+		return cmp.Or(cmp.Compare(b.order, a.order), cmp.Compare(a.arrived, b.arrived))
 	})
 	r.waiting = slices.Insert(r.waiting, i, q)
 }
 
 // drainQueue sends what can go and ends at once what can no longer be served in time.
 func (r *Router) drainQueue() {
-	if len(r.waiting) == 0 {
-		return
-	}
-	held := r.waiting
-	r.waiting = nil
-	var keep []*request
-	for _, q := range held {
-		switch {
-		case q.ended:
-		case r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim:
+	r.waiting = slices.DeleteFunc(r.waiting, func(q *request) bool {
+		if !q.ended && (r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim) {
 			r.finish(q)
-		case !r.try(q):
-			keep = append(keep, q)
 		}
-	}
-	r.waiting = keep
+		return q.ended || r.try(q)
+	})
 }
 
 // ---- Evidence ----
 
-type peerKey struct {
-	peer        int
-	incarnation uint32
-}
-
 // evidence counts a first attempt of a class allowed at the present stage, in both arms alike, so that
-// the mix of classes cannot pass for harm. Servers that may be cold do not count. The totals go on after
-// the release, for the guard.
+// the mix of classes cannot pass for harm. Servers that may be cold do not count. The counts go on after
+// the release, for the guards.
 func (r *Router) evidence(q *request, e AttemptDone) {
-	took := e.Took.Seconds()
+	c, took := q.class, e.Took.Seconds()
 	if q.sentRel.Phase != OnTrial && e.Outcome == OK {
-		q.class.times[q.class.next%len(q.class.times)] = took
-		q.class.next++
+		c.times[c.next%len(c.times)] = took
+		c.next++
 	}
-	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || q.sentRel.Build != r.rel.Build {
+	closed := r.rel.Phase == OnTrial && r.rel.Stage < r.s.Rollout.ClosedStages && c.Repeat != Safe
+	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
+	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || q.sentRel.Build != r.rel.Build ||
+		closed || young {
 		return
 	}
-	if r.rel.Stage < r.s.Rollout.ClosedStages && r.rel.Phase == OnTrial && q.class.Repeat != Safe {
-		return
-	}
-	if q.server.Started != 0 && q.sentAt < q.server.Started+youngServer {
-		return
-	}
-	one := Arm{N: 1, Miss: 1}
-	if e.Outcome == OK && e.Took <= q.class.Aim {
-		one.Miss = 0
-	}
-	if e.Outcome == ServerError {
-		one.Err = 1
-	}
-	if q.class.mark > 0 && took > q.class.mark {
-		one.Slow = 1
-	}
-	add := Counts{Old: one}
-	if q.server.Build == r.rel.Build {
-		add = Counts{New: one}
+	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
+		Slow: count(c.mark > 0 && took > c.mark)}
+	r.total.arm(q.to.Build == r.rel.Build).plus(one)
+	if q.sentRel.Phase == r.rel.Phase && q.sentRel.Stage == r.rel.Stage {
+		r.counts.arm(q.to.Build == r.rel.Build).plus(one)
 	}
-	if r.rel.Phase == OnTrial || q.server.Build == r.rel.Build {
-		r.total.plus(add)
+}
+
+// disputed counts a flagged answer, counted as served before, as failed.
+func (r *Router) disputed(e AnswerDisputed) {
+	s := r.servers[e.Server]
+	if s == nil || r.now-e.Age < s.Started {
+		return // the build that gave the answer is not known any more
 	}
-	if r.rel.Phase == OnTrial && q.sentRel.Phase == OnTrial && q.sentRel.Stage == r.rel.Stage {
-		r.counts.plus(add)
+	for _, c := range []*Counts{&r.total, &r.counts} {
+		a := c.arm(s.Build == r.rel.Build)
+		if a.Miss < a.N && (c == &r.total || r.now-e.Age >= r.stageAt) {
+			a.Miss, a.Wrong = a.Miss+1, a.Wrong+1
+		}
 	}
 }
 
@@ -773,14 +754,18 @@
 	}
 }
 
+// step numbers the stages for reports; the time after the release is one more.
+func (r *Router) step() int {
+	return r.rel.Stage + int(count(r.rel.Phase == Released))
+}
+
 // report sends the counts to the voters, and what is in flight to all.
 func (r *Router) report() {
 	if !r.s.CanPost || r.s.Peers < 2 || r.now < r.reportAt {
 		return
 	}
 	r.reportAt = r.now + reportEvery
-	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.rel.Stage, Counts: r.counts,
-		Total: r.total}
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts, Total: r.total}
 	for _, s := range r.list {
 		for i := range s.peerBusy {
 			s.peerBusy[i] *= busyFade // a silent peer's attempts do not count for long
@@ -796,7 +781,7 @@
 func (r *Router) hear(e PeerMessage) {
 	m, err := DecodeReport(e.Data)
 	if err != nil || e.From < 0 || e.From >= r.s.Peers || e.From == r.s.Self ||
-		m.Stage >= len(r.s.Rollout.StageCap) {
+		m.Stage > len(r.s.Rollout.StageCap) {
 		return
 	}
 	k := peerKey{e.From, m.Incarnation}
@@ -822,7 +807,7 @@
 	for _, m := range r.peers {
 		if m.Build == r.rel.Build {
 			total.plus(m.Total)
-			if m.Stage == r.rel.Stage {
+			if m.Stage == r.step() {
 				stage.plus(m.Counts)
 			}
 		}
@@ -916,41 +901,29 @@
 // news takes the platform's word on the newest build, told unasked or in reply to a vote.
 func (r *Router) news(e ReleaseStatus) {
 	if e.IsReply {
-		r.vote.out = 0
-		r.vote.at = r.now + voteRetry
-		if e.Reply == VoteCounts {
-			r.vote.at = r.now + max(r.s.Rollout.VoteTTL-voteRenew, voteRetry)
-		} else {
+		r.vote.out, r.vote.at = 0, r.now+voteRetry
+		if e.Reply != VoteCounts {
 			return // only a vote that counts brings news
 		}
+		r.vote.at = r.now + max(r.s.Rollout.VoteTTL-voteRenew, voteRetry)
 	}
 	if r.relKnown && e.Build < r.rel.Build {
 		return
 	}
 	was, known := r.rel, r.relKnown
 	r.rel, r.relKnown = e, true
-	if e.Phase == GoingBack || e.Phase == Withdrawn {
-		r.bad[e.Build] = true
-	} else {
-		delete(r.bad, e.Build)
-	}
-	if known && was.Build == e.Build && e.Cap < was.Cap {
-		for k, b := range r.budgets {
-			if k.build == e.Build {
-				b.earned = 0
-			}
+	r.bad[e.Build] = e.Phase == GoingBack || e.Phase == Withdrawn
+	for k, b := range r.budgets {
+		if k.build == e.Build && e.Cap < was.Cap {
+			b.earned = 0 // a lower cap counts anew
 		}
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
-		if known && was.Build != e.Build || was.Phase != OnTrial && e.Phase == OnTrial {
-			r.total = Counts{}
+		if was.Build != e.Build {
+			r.total, r.usual = Counts{}, r.demand
 			r.setMarks()
 		}
-		r.counts, r.vote = Counts{}, voteState{}
-		r.stageAt = r.now
-		if known && was.Build == e.Build || !known {
-			r.listedAt = 0
-		}
+		r.counts, r.vote, r.stageAt = Counts{}, voteState{}, r.now-e.Age
 		clear(r.seen)
 	}
 	r.regroup()
@@ -968,16 +941,16 @@
 	stage, total := r.pooled()
 	if v.verdict != VoteBack && r.now >= v.guardAt {
 		v.guardAt = r.now + guardEvery
-		if r.guard(total) {
+		if r.guard(total) || r.slowed(stage) {
 			v.tested, v.verdict, v.at = true, VoteBack, r.now+time.Duration(rank)*backStagger
 		}
 	}
 	if !v.tested && r.rel.Phase == OnTrial {
-		due := r.stageAt + launchWait
+		due, least := r.stageAt+launchWait, r.stageAt+launchWait
 		if r.listedAt > r.stageAt {
-			due = r.listedAt + stageTimeout
+			due, least = r.listedAt+stageTimeout, r.listedAt+r.s.Rollout.MinStage
 		}
-		if stage.New.N < horizon && r.now < due {
+		if r.now < due && (stage.New.N < horizon || r.now < least) {
 			return
 		}
 		v.tested, v.verdict = true, VoteOn
@@ -997,9 +970,36 @@
 }
 
 // guard is the exception for builds that turn bad after their test: late, under load, or for a class that
-// was closed. It asks the same walk whether the new build answers with errors more often than the old one
-// did. Healthy builds hardly ever do, whatever the load, so asking often costs good builds little.
+// was closed, or by few wrong answers, of which only a known share is flagged. It asks the same walk whether
+// the new build fails more often than the old one did. Healthy builds hardly ever answer with an error,
+// whatever the load, so asking often costs good builds little.
 func (r *Router) guard(c Counts) bool {
-	return c.New.Err >= guardErrors &&
-		harm(r.rng, c.Old.N, c.Old.Err, c.New.N, c.New.Err, margin) < level
+	failed := func(a Arm) uint32 {
+		return min(a.N, a.Err+uint32(float64(a.Wrong)/max(r.s.Rollout.FlagShare, 0.05)))
+	}
+	return c.New.Err+c.New.Wrong >= guardErrors &&
+		harm(r.rng, c.Old.N, failed(c.Old), c.New.N, failed(c.New), margin) < level
+}
+
+// slowed is the exception for a build that slows the old servers in step with its own traffic, so that old
+// minus new shows nothing: the walk compares the old servers, or after the release all, with the time
+// before the trial. The margin is wide, since bursts and sick servers slow a fleet too; it hurts where
+// those strike half of a fleet during a trial.
+func (r *Router) slowed(stage Counts) bool {
+	before, now := 0, stage.Old
+	for _, c := range r.classes {
+		if c.mark > 0 {
+			before += min(c.next, len(c.times))
+		}
+	}
+	if now.N < horizon {
+		now = stage.New
+	}
+	slow := uint32((1 - slowPart) * float64(before))
+	wide := r.rel.Cap >= fleetCap
+	if r.rel.Phase == Released {
+		wide = r.now < r.stageAt+fleetTime
+	}
+	return wide && r.demand < busyDemand*r.usual &&
+		now.N >= horizon && harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) < level
 }
--- a/logic/report.go
+++ b/logic/report.go
@@ -6,8 +6,8 @@
 )
 
 // Arm counts first attempts at one build: all, those not served within the aim, those answered with an
-// error, and those slower than the mark kept from before the trial.
-type Arm struct{ N, Miss, Err, Slow uint32 }
+// error, those slower than the mark kept from before the trial, and those that a client found wrong.
+type Arm struct{ N, Miss, Err, Slow, Wrong uint32 }
 
 // Counts holds both arms of a trial.
 type Counts struct{ Old, New Arm }
@@ -23,6 +23,12 @@
 	Busy        []BusyServer
 }
 
+// peerKey names one life of a peer.
+type peerKey struct {
+	peer        int
+	incarnation uint32
+}
+
 // BusyServer tells how many attempts a router has out at a server.
 type BusyServer struct {
 	Server   ServerID
@@ -40,7 +46,23 @@
 var errReport = errors.New("malformed report")
 
 func (a *Arm) plus(b Arm) {
-	a.N, a.Miss, a.Err, a.Slow = a.N+b.N, a.Miss+b.Miss, a.Err+b.Err, a.Slow+b.Slow
+	a.N, a.Miss, a.Err, a.Slow, a.Wrong = a.N+b.N, a.Miss+b.Miss, a.Err+b.Err, a.Slow+b.Slow, a.Wrong+b.Wrong
+}
+
+// count is 1 for yes.
+func count(yes bool) uint32 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// arm is the arm of the new build or of the old one.
+func (c *Counts) arm(isNew bool) *Arm {
+	if isNew {
+		return &c.New
+	}
+	return &c.Old
 }
 
 func (c *Counts) plus(d Counts) {
@@ -52,7 +74,7 @@
 
 // possible tells whether counts can be cumulative counts of attempts.
 func (a Arm) possible() bool {
-	return a.N <= maxCount && a.Miss <= a.N && a.Err <= a.Miss && a.Slow <= a.N
+	return a.N <= maxCount && a.Miss <= a.N && a.Err <= a.Miss && a.Slow <= a.N && a.Wrong <= a.Miss
 }
 
 func (r *Report) arms() []*Arm {
@@ -67,7 +89,7 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Build))
 	b = append(b, byte(r.Stage))
 	for _, a := range r.arms() {
-		for _, c := range []uint32{a.N, a.Miss, a.Err, a.Slow} {
+		for _, c := range []uint32{a.N, a.Miss, a.Err, a.Slow, a.Wrong} {
 			b = binary.AppendUvarint(b, uint64(c))
 		}
 	}
@@ -90,7 +112,7 @@
 		Stage: int(b[7])}
 	b = b[reportHead:]
 	for _, a := range r.arms() {
-		for _, dst := range []*uint32{&a.N, &a.Miss, &a.Err, &a.Slow} {
+		for _, dst := range []*uint32{&a.N, &a.Miss, &a.Err, &a.Slow, &a.Wrong} {
 			n, size := binary.Uvarint(b)
 			if size <= 0 || n > maxCount {
 				return Report{}, errReport
