--- a/logic/api.go
+++ b/logic/api.go
@@ -81,7 +81,6 @@
 	Rollout       Rollout
 	MaxAttempts   int
 	MaxRetryAfter time.Duration
-	RetryAfter    bool
 	CanProbe      bool
 	CanPost       bool
 	CanCancel     bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -49,9 +50,11 @@
 	fleetCap      = 0.4              // with less traffic a build hardly slows a fleet
 	fleetTime     = 10 * time.Second // after the release; later slowness has other causes
 	busyDemand    = 1.25             // beyond this multiple of the usual requests, slowness is laid to them
-	fleetMargin   = 0.3              // more slow answers than before the trial, by this, are harm to the fleet
+	fleetMargin   = 0.2              // more slow answers than before the trial, by this, are harm to the fleet
 	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8              // of peers' attempts out, each report period
+	spillOver     = 2.0              // a drawn request goes to the old build where new servers are so much busier
+	guardMargin   = 0.01             // more errors than this, beyond the old build's, are harm
 	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
@@ -85,7 +88,7 @@
 	inFlight                int
 	limit, answers, late    float64 // the concurrency limit, and outcomes since it was last set
 	retries, rate, arrived  float64 // repeats earned; requests a second, smoothed; since the last tick
-	demand, usual, unserved float64 // requests less those that clients repeat; before the trial; since the tick
+	demand, usual, unserved float64 // new requests a second; before the trial; not served since the tick
 
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
@@ -184,10 +187,8 @@
 	r.rate = r.rate*keep + r.arrived/tickEvery.Seconds()*(1-keep)
 	r.demand = r.demand*keep + (r.arrived-r.unserved)/tickEvery.Seconds()*(1-keep)
 	r.arrived, r.unserved = 0, 0
-	for _, t := range r.s.Tenants {
-		own := r.tenants[t.Name]
-		own.rate = own.rate*keep + own.came/tickEvery.Seconds()*(1-keep)
-		own.came = 0
+	for _, t := range r.tenants {
+		t.rate, t.came = t.rate*keep+t.came/tickEvery.Seconds()*(1-keep), 0
 	}
 	r.adjustLimit()
 	r.drainQueue()
@@ -220,8 +221,7 @@
 		case have == nil:
 			r.servers[entry.ID] = &server{Server: entry, peerBusy: make([]float64, r.s.Peers)}
 		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
-			have.clear()
-			have.spent, have.Server = 0, entry
+			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, 0, entry
 		default:
 			have.State, have.Weight = entry.State, entry.Weight
 			continue
@@ -239,9 +239,7 @@
 		r.list = append(r.list, s)
 	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-	if r.limit == 0 {
-		r.limit = limitStart * float64(len(r.list))
-	}
+	r.limit = cmp.Or(r.limit, limitStart*float64(len(r.list)))
 	r.regroup()
 	r.drainQueue()
 }
@@ -284,8 +282,6 @@
 	}
 }
 
-func (s *server) clear() { s.fails, s.pause, s.until = 0, 0, 0 }
-
 // ---- Builds and exposure ----
 
 type budgetKey struct {
@@ -448,7 +444,10 @@
 		near = all
 	}
 	a, b := all[r.rng.IntN(len(all))], near[r.rng.IntN(len(near))]
-	return slices.MinFunc([]*server{b, a}, func(x, y *server) int { return cmp.Compare(r.load(x), r.load(y)) })
+	if r.load(b) <= r.load(a) {
+		return b
+	}
+	return a
 }
 
 // repeatOK tells whether an attempt at this server would keep the rule on repeats.
@@ -468,7 +467,11 @@
 	floor := r.pinnedTo(q)
 	wanted := floor == r.trialID || q.draw && q.attempts == 0
 	if len(r.trial) > 0 && wanted && r.mayTry(r.trialID, q.class, false) {
-		if s := r.pick(r.trial, q); s != nil {
+		s, o := r.pick(r.trial, q), r.pick(r.base, q)
+		if s != nil && o != nil && floor == 0 && r.load(s) > spillOver*r.load(o) {
+			return o // busier servers would pass for a worse build
+		}
+		if s != nil {
 			return s
 		}
 	}
@@ -506,7 +509,7 @@
 	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
 	r.reqs[e.ID] = q
 	r.arrived++
-	r.retries = min(retryMax, r.retries+retryEarn)
+	r.retries = min(retryMax, max(0, r.retries)+retryEarn)
 	if t := r.tenants[e.Tenant]; t != nil {
 		t.came++
 		if t.rate > overShareEdge*t.part*r.rate {
@@ -609,7 +612,7 @@
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	switch e.Outcome {
 	case OK, Rejected:
-		s.clear()
+		s.fails, s.pause, s.until = 0, 0, 0
 	case ConnectFailed, Reset:
 		r.blame(s, true)
 	case TimedOut, ServerError:
@@ -626,16 +629,13 @@
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
 func (r *Router) again(q *request, o Outcome) {
-	costly := o == TimedOut || o == ServerError
-	if r.deadlineNear(q) || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe ||
-		costly && r.retries < 1 {
-		r.finish(q)
-		return
-	}
-	if costly {
+	if o == TimedOut || o == ServerError {
 		r.retries--
 	}
-	if !r.try(q) {
+	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 || q.mayRan && q.class.Repeat == Unsafe
+	if spent || r.deadlineNear(q) {
+		r.finish(q)
+	} else if !r.try(q) {
 		r.hold(q)
 	}
 }
@@ -644,12 +644,8 @@
 
 // finish gives the final answer: a refusal where trying again is harmless, else a failure.
 func (r *Router) finish(q *request) {
-	wait := time.Duration(0)
-	if r.s.RetryAfter {
-		wait = r.s.MaxRetryAfter / 2
-	}
 	if !q.mayRan || q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
-		r.do(Refuse{ID: q.ID, RetryAfter: wait})
+		r.do(Refuse{ID: q.ID, RetryAfter: r.s.MaxRetryAfter / 2})
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
@@ -765,7 +761,8 @@
 		return
 	}
 	r.reportAt = r.now + reportEvery
-	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts, Total: r.total}
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
+		Total: r.total}
 	for _, s := range r.list {
 		for i := range s.peerBusy {
 			s.peerBusy[i] *= busyFade // a silent peer's attempts do not count for long
@@ -871,13 +868,12 @@
 
 type voteState struct {
 	verdict Verdict
-	at      time.Duration // when the vote is to be cast, or cast again
-	out     time.Duration // when the vote now unanswered was cast; 0: none
-	tested  bool
+	at, out time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
 	guardAt time.Duration
+	tested  bool
 }
 
-// rank is this router's place among a build's voters, or -1.
+// rank is this router's place among those that may vote on a build; the first few are its voters.
 func (r *Router) rank(b BuildID) int {
 	rank, own := 0, voterHash(b, r.s.Self)
 	for i := range r.s.Peers {
@@ -885,9 +881,6 @@
 			rank++
 		}
 	}
-	if rank >= voters {
-		return -1
-	}
 	return rank
 }
 
@@ -934,18 +927,21 @@
 // send a build back at any time until the next is offered.
 func (r *Router) ballot() {
 	rank := r.rank(r.rel.Build)
-	if !r.relKnown || rank < 0 || r.rel.Phase != OnTrial && r.rel.Phase != Released {
+	if !r.relKnown || rank >= voters || r.rel.Phase != OnTrial && r.rel.Phase != Released {
 		return
 	}
 	v := &r.vote
 	stage, total := r.pooled()
+	verdict, why := VoteNone, ""
 	if v.verdict != VoteBack && r.now >= v.guardAt {
 		v.guardAt = r.now + guardEvery
-		if r.guard(total) || r.slowed(stage) {
-			v.tested, v.verdict, v.at = true, VoteBack, r.now+time.Duration(rank)*backStagger
+		if r.guard(total) {
+			verdict, why = VoteBack, "errors"
+		} else if r.slowed(stage) {
+			verdict, why = VoteBack, "the fleet slowed"
 		}
 	}
-	if !v.tested && r.rel.Phase == OnTrial {
+	if !v.tested && r.rel.Phase == OnTrial && verdict == VoteNone {
 		due, least := r.stageAt+launchWait, r.stageAt+launchWait
 		if r.listedAt > r.stageAt {
 			due, least = r.listedAt+stageTimeout, r.listedAt+r.s.Rollout.MinStage
@@ -953,14 +949,23 @@
 		if r.now < due && (stage.New.N < horizon || r.now < least) {
 			return
 		}
-		v.tested, v.verdict = true, VoteOn
-		wait := voteStagger
 		old, fresh := stage.Old, stage.New
-		if harm(r.rng, old.N, old.Miss, fresh.N, fresh.Miss, margin) < level ||
+		verdict, why = VoteOn, "no harm seen"
+		if harm(r.rng, old.N, old.Miss, fresh.N, fresh.Miss, margin) < level {
+			verdict, why = VoteBack, "served less in time"
+		} else if fresh.N >= horizon &&
 			harm(r.rng, old.N, old.Slow, fresh.N, fresh.Slow, slowMargin) < level {
-			v.verdict, wait = VoteBack, backStagger
+			verdict, why = VoteBack, "slower answers"
+		}
+	}
+	if verdict != VoteNone {
+		wait := voteStagger
+		if verdict == VoteBack {
+			wait = backStagger
 		}
-		v.at = r.now + time.Duration(rank)*wait
+		v.tested, v.verdict, v.at = true, verdict, r.now+time.Duration(rank)*wait
+		r.do(Log{fmt.Sprintf("build %d stage %d: %s; old, new (n miss err slow wrong): %v total %v",
+			r.rel.Build, r.rel.Stage, why, stage, total)})
 	}
 	if !v.tested || v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
 		return
@@ -978,28 +983,29 @@
 		return min(a.N, a.Err+uint32(float64(a.Wrong)/max(r.s.Rollout.FlagShare, 0.05)))
 	}
 	return c.New.Err+c.New.Wrong >= guardErrors &&
-		harm(r.rng, c.Old.N, failed(c.Old), c.New.N, failed(c.New), margin) < level
+		harm(r.rng, c.Old.N, failed(c.Old), c.New.N, failed(c.New), guardMargin) < level
 }
 
-// slowed is the exception for a build that slows the old servers in step with its own traffic, so that old
-// minus new shows nothing: the walk compares the old servers, or after the release all, with the time
-// before the trial. The margin is wide, since bursts and sick servers slow a fleet too; it hurts where
-// those strike half of a fleet during a trial.
+// slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
+// new shows nothing: the walk compares each arm with the time before the trial, and both must have slowed.
+// Where one arm has not, dead or sick servers are the cause. The margin is wide, since bursts slow a fleet
+// too; it hurts where one strikes just when a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
-	before, now := 0, stage.Old
+	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
+	if !wide || r.demand >= busyDemand*r.usual || max(stage.Old.N, stage.New.N) < horizon {
+		return false
+	}
+	before := 0
 	for _, c := range r.classes {
 		if c.mark > 0 {
 			before += min(c.next, len(c.times))
 		}
 	}
-	if now.N < horizon {
-		now = stage.New
-	}
-	slow := uint32((1 - slowPart) * float64(before))
-	wide := r.rel.Cap >= fleetCap
-	if r.rel.Phase == Released {
-		wide = r.now < r.stageAt+fleetTime
+	for _, now := range []Arm{stage.Old, stage.New} {
+		slow := uint32((1 - slowPart) * float64(before))
+		if now.N >= horizon && harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) >= level {
+			return false
+		}
 	}
-	return wide && r.demand < busyDemand*r.usual &&
-		now.N >= horizon && harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) < level
+	return true
 }
