--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,7 +53,7 @@
 	fleetMargin   = 0.2              // more slow answers than before the trial, by this, are harm to the fleet
 	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8              // of peers' attempts out, each report period
-	spillOver     = 2.0              // a drawn request goes to the old build where new servers are so much busier
+	spillOver     = 2.0              // a drawn request goes to the old build if new servers are this much busier
 	guardMargin   = 0.01             // more errors than this, beyond the old build's, are harm
 	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
