--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,7 @@
 	backStagger   = 400 * time.Millisecond  // the same for 'back'
 	voteRetry     = 700 * time.Millisecond  // pause after a vote that did not count
 	voteRenew     = 500 * time.Millisecond  // a vote is renewed this long before it lapses
-	retryPart     = 0.8                     // an attempt that can be repeated may take this part of the aim
-	retryEarn     = 0.05                    // repeats after time-outs earned by a request
+	retryEarn     = 0.05                    // repeats after errors earned by a request
 	retryMax      = 8.0                     // and kept at most
 	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
 	suspectLast   = 8 * time.Second
@@ -566,20 +565,10 @@
 	q.attempts++
 	s.inFlight++
 	r.inFlight++
-	r.do(Send{ID: q.ID, Server: s.ID, Timeout: r.timeout(q)})
+	r.do(Send{ID: q.ID, Server: s.ID})
 	return true
 }
 
-// timeout bounds an attempt that may be repeated, so that a silent server costs part of the aim only.
-func (r *Router) timeout(q *request) time.Duration {
-	want := time.Duration(retryPart * float64(q.class.Aim))
-	if q.class.Repeat == Unsafe || q.attempts >= r.s.MaxAttempts || r.retries < 1 ||
-		r.now+want > min(q.arrived+q.class.Aim, q.deadline) {
-		return 0
-	}
-	return want
-}
-
 func (r *Router) done(e AttemptDone) {
 	q := r.reqs[e.ID]
 	if q == nil || !q.out || e.Attempt != q.attempts-1 {
@@ -629,7 +618,7 @@
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
 func (r *Router) again(q *request, o Outcome) {
-	if o == TimedOut || o == ServerError {
+	if o == ServerError {
 		r.retries--
 	}
 	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 || q.mayRan && q.class.Repeat == Unsafe
