--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,7 @@
 	suspectLast   = 8 * time.Second
 	suspectAfter  = 2                // failures in a row that make a server suspect
 	coldPart      = 0.6              // part of a cold server's fall budget that all routers together may use
-	crossLoad     = 12.0             // attempts in flight that one point of cross-zone price is worth
+	crossLoad     = 6.0              // attempts in flight that one point of cross-zone price is worth
 	carryPart     = 1.0              // the trial share may exceed the new build's part of the fleet this much
 	guardEvery    = time.Second      // pause between the guards' tests
 	guardErrors   = 4                // fewer errors than this say nothing
@@ -49,10 +49,10 @@
 	fleetCap      = 0.4              // with less traffic a build hardly slows a fleet
 	fleetTime     = 10 * time.Second // after the release; later slowness has other causes
 	busyDemand    = 1.25             // beyond this multiple of the usual requests, slowness is laid to them
-	fleetMargin   = 0.2              // more slow answers than before the trial, by this, are harm to the fleet
+	fleetMargin   = 0.2              // more slow answers than before the trial by this are harm to the fleet
 	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8              // of peers' attempts out, each report period
-	spillOver     = 2.0              // a drawn request goes to the old build if new servers are this much busier
+	spillOver     = 2.0              // drawn requests go to the old build if new servers are so much busier
 	guardMargin   = 0.01             // more errors than this, beyond the old build's, are harm
 	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
@@ -92,6 +92,7 @@
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
 	peers                       map[peerKey]Report
+	heard                       []Report      // the latest of each peer
 	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
 	vote                        voteState
 }
@@ -130,7 +131,7 @@
 		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
 		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
 		retries: retryMax}
-	r.incarnation = r.rng.Uint32()
+	r.incarnation, r.heard = r.rng.Uint32(), make([]Report, s.Peers)
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &class{Class: c}
 	}
@@ -701,9 +702,10 @@
 		c.next++
 	}
 	closed := r.rel.Phase == OnTrial && r.rel.Stage < r.s.Rollout.ClosedStages && c.Repeat != Safe
+	unheard := e.Outcome == ConnectFailed // a cut or dead host: no build has looked at the request
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
-	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || q.sentRel.Build != r.rel.Build ||
-		closed || young {
+	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
+		q.sentRel.Build != r.rel.Build {
 		return
 	}
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
@@ -751,7 +753,7 @@
 	}
 	r.reportAt = r.now + reportEvery
 	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
-		Total: r.total}
+		Total: r.total, Demand: uint16(10 * max(0, r.demand)), Usual: uint16(10 * max(0, r.usual))}
 	for _, s := range r.list {
 		for i := range s.peerBusy {
 			s.peerBusy[i] *= busyFade // a silent peer's attempts do not count for long
@@ -776,7 +778,7 @@
 		had.Total.size() > m.Total.size()) {
 		return // an older report, come late
 	}
-	r.peers[k] = m
+	r.peers[k], r.heard[e.From] = m, m
 	for _, s := range r.list {
 		s.peerBusy[e.From] = 0
 	}
@@ -981,7 +983,13 @@
 // too; it hurts where one strikes just when a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
-	if !wide || r.demand >= busyDemand*r.usual || max(stage.Old.N, stage.New.N) < horizon {
+	demand, usual := r.demand, r.usual
+	for _, m := range r.heard {
+		if m.Usual > 0 && r.usual > 0 {
+			demand, usual = demand+float64(m.Demand)/10, usual+float64(m.Usual)/10
+		}
+	}
+	if !wide || demand >= busyDemand*usual || max(stage.Old.N, stage.New.N) < horizon {
 		return false
 	}
 	before := 0
--- a/logic/report.go
+++ b/logic/report.go
@@ -20,6 +20,8 @@
 	Stage       int
 	Counts      Counts // of the stage
 	Total       Counts // of the build
+	Demand      uint16 // new requests, tenths a second, now and
+	Usual       uint16 // before the trial; 0: not known
 	Busy        []BusyServer
 }
 
@@ -37,7 +39,7 @@
 
 const (
 	reportVersion = 1
-	reportHead    = 8
+	reportHead    = 12
 	busySize      = 5
 	maxCount      = 1 << 24 // no router counts this many attempts in a trial
 	maxReport     = 256     // the longest message peers accept
@@ -88,6 +90,8 @@
 	b = binary.BigEndian.AppendUint32(b, r.Incarnation)
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Build))
 	b = append(b, byte(r.Stage))
+	b = binary.BigEndian.AppendUint16(b, r.Demand)
+	b = binary.BigEndian.AppendUint16(b, r.Usual)
 	for _, a := range r.arms() {
 		for _, c := range []uint32{a.N, a.Miss, a.Err, a.Slow, a.Wrong} {
 			b = binary.AppendUvarint(b, uint64(c))
@@ -109,7 +113,7 @@
 		return Report{}, errReport
 	}
 	r := Report{Incarnation: binary.BigEndian.Uint32(b[1:]), Build: BuildID(binary.BigEndian.Uint16(b[5:])),
-		Stage: int(b[7])}
+		Stage: int(b[7]), Demand: binary.BigEndian.Uint16(b[8:]), Usual: binary.BigEndian.Uint16(b[10:])}
 	b = b[reportHead:]
 	for _, a := range r.arms() {
 		for _, dst := range []*uint32{&a.N, &a.Miss, &a.Err, &a.Slow, &a.Wrong} {
