--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -37,8 +37,8 @@
 	s := logic.Settings{
 		Self: v.GetInt("me"), Peers: v.GetInt("peers_total"), Zone: text("zone"),
 		MaxAttempts: v.GetInt("caps", "max_attempts"), MaxRetryAfter: ms("caps", "max_retry_after_ms"),
-		CanProbe: v.GetBool("caps", "probes"),
-		CanPost:  v.GetBool("caps", "peers"), CanCancel: v.GetBool("caps", "cancel"),
+		MarksRetry: v.GetBool("client_habits", "marks_retry"), CanProbe: v.GetBool("caps", "probes"),
+		CanPost: v.GetBool("caps", "peers"), CanCancel: v.GetBool("caps", "cancel"),
 		AskDiscovery: text("registry_mode") == "subscribe", AskWithin: ms("rules", "ask_within_ms"),
 		Tick: ms("tick_ms"), DrainGrace: ms("rules", "drain_grace_ms"), ColdFrom: v.GetFloat64("rules", "cold_from"),
 		ColdTime: ms("rules", "cold_ms"), FallMultiple: v.GetFloat64("rules", "fall_multiple"),
--- a/logic/api.go
+++ b/logic/api.go
@@ -81,6 +81,7 @@
 	Rollout       Rollout
 	MaxAttempts   int
 	MaxRetryAfter time.Duration
+	MarksRetry    bool // clients mark their repeats
 	CanProbe      bool
 	CanPost       bool
 	CanCancel     bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -509,6 +509,7 @@
 	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
 	r.reqs[e.ID] = q
 	r.arrived++
+	r.unserved += float64(count(e.Retry)) // of a request that was counted before
 	r.retries = min(retryMax, max(0, r.retries)+retryEarn)
 	if t := r.tenants[e.Tenant]; t != nil {
 		t.came++
@@ -645,7 +646,7 @@
 // forget drops a request that has ended; one with an attempt still out is kept for its outcome.
 func (r *Router) forget(q *request) {
 	q.ended = true
-	r.unserved++ // its client may well come again
+	r.unserved += float64(count(!r.s.MarksRetry)) // its client may well come again
 	if !q.out {
 		delete(r.reqs, q.ID)
 	}
