--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -269,8 +269,8 @@
 
 func request(f *fields) logic.Event {
 	r := logic.RequestArrived{ID: logic.RequestID(f.text(0)), Class: f.text(1), Left: f.millis(4)}
-	if v := f.at(2, fastjson.TypeString, false); v != nil {
-		r.Tenant = string(v.GetStringBytes())
+	if len(f.v) > 2 { // sites without tenants send 0 or nothing
+		r.Tenant = string(f.v[2].GetStringBytes())
 	}
 	if v := f.at(3, fastjson.TypeNumber, false); v != nil {
 		r.Key, r.HasKey = v.GetUint64(), true
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -121,9 +122,19 @@
 	r.buf = append(r.buf, '"')
 }
 
+// text appends a JSON string; plain words, nearly all there are, skip the general encoder.
 func (r *Reply) text(s string) {
 	r.buf = append(r.buf, ',')
-	r.buf = strconv.AppendQuoteToASCII(r.buf, s)
+	plain := true
+	for i := range len(s) {
+		plain = plain && s[i] >= ' ' && s[i] < 0x7f && s[i] != '"' && s[i] != '\\'
+	}
+	if plain {
+		r.buf = append(append(append(r.buf, '"'), s...), '"')
+		return
+	}
+	quoted, _ := json.Marshal(s) // a string always has a JSON form
+	r.buf = append(r.buf, quoted...)
 }
 
 func (r *Reply) uint(n uint64) {
--- /dev/null
+++ b/logic/judge_test.go
@@ -0,0 +1,531 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// reference computes the design's p-value observation by observation, with indicators as in the paper.
+func reference(rng *rand.Rand, c Counts, d float64) float64 {
+	type obs struct{ a, y float64 }
+	var data []obs
+	add := func(n uint32, o obs) { data = append(data, slices.Repeat([]obs{o}, int(n))...) }
+	add(c.Old.N-c.Old.Miss, obs{0, 1})
+	add(c.Old.Miss, obs{0, 0})
+	add(c.New.N-c.New.Miss, obs{1, 1})
+	add(c.New.Miss, obs{1, 0})
+	n := float64(len(data))
+	var sumA, sumY1, sumY0 float64
+	for _, o := range data {
+		sumA += o.a
+		sumY1 += o.a * o.y
+		sumY0 += (1 - o.a) * o.y
+	}
+	p, mOld, mNew := sumA/n, sumY0/(n-sumA), sumY1/sumA
+	mu := make([]float64, len(data))
+	mean, square := 0.0, 0.0
+	for i, o := range data {
+		mu[i] = (mOld - mNew) + (1-o.a)/(1-p)*(o.y-mOld) - o.a/p*(o.y-mNew) - d
+		mean += mu[i] / n
+	}
+	for _, m := range mu {
+		square += (m - mean) * (m - mean)
+	}
+	sigma := math.Sqrt(square / (n - 1))
+	cauchy := 0.0
+	for range 20 {
+		rng.Shuffle(len(mu), func(i, j int) { mu[i], mu[j] = mu[j], mu[i] })
+		up := rng.Uint64()&1 == 0
+		stat := 0.0
+		for i, m := range mu {
+			sign := -1.0
+			if stat > 0 || i == 0 && up {
+				sign = 1
+			}
+			stat += sign * m / (math.Sqrt(n) * sigma)
+		}
+		phi := 0.5 * (1 + math.Erf(-math.Abs(stat)/math.Sqrt2))
+		cauchy += math.Tan((0.5-math.Max(2*phi, 1e-15))*math.Pi) / 20
+	}
+	return 0.5 - math.Atan(cauchy)/math.Pi
+}
+
+func TestHarmAgreesWithTheFormula(t *testing.T) {
+	for _, c := range []Counts{
+		{Old: Arm{N: 200, Miss: 10}, New: Arm{N: 20, Miss: 4}},
+		{Old: Arm{N: 50, Miss: 1}, New: Arm{N: 3, Miss: 1}},
+		{Old: Arm{N: 30, Miss: 6}, New: Arm{N: 60, Miss: 12}},
+		{Old: Arm{N: 400, Miss: 4}, New: Arm{N: 40, Miss: 0}},
+	} {
+		for seed := range uint64(5) {
+			got := harm(rand.New(rand.NewPCG(seed, 1)), c.Old.N, c.Old.Miss, c.New.N, c.New.Miss, 0.02)
+			want := reference(rand.New(rand.NewPCG(seed, 1)), c, 0.02)
+			if math.Abs(got-want) > 1e-6 {
+				t.Errorf("%+v seed %d: p %.9f, the formula gives %.9f", c, seed, got, want)
+			}
+		}
+	}
+}
+
+func TestHarmVerdicts(t *testing.T) {
+	cases := []struct {
+		name                       string
+		oldN, oldBad, newN, newBad uint32
+		rejects                    bool
+	}{
+		{"clear harm", 400, 8, 40, 20, true},
+		{"no harm", 400, 8, 40, 1, false},
+		{"better than the old", 400, 80, 40, 1, false},
+		{"harm within the margin", 2000, 20, 200, 4, false},
+		{"sigma 0", 100, 0, 20, 0, false},
+		{"no trial outcomes", 100, 5, 0, 0, false},
+		{"no old outcomes", 0, 0, 20, 10, false},
+		{"one outcome each", 1, 0, 1, 0, false},
+		{"short horizon with clear harm", 100, 2, 5, 5, true},
+	}
+	for _, c := range cases {
+		rejected := 0
+		for seed := range uint64(50) {
+			if harm(rand.New(rand.NewPCG(seed, 3)), c.oldN, c.oldBad, c.newN, c.newBad, margin) < level {
+				rejected++
+			}
+		}
+		if c.rejects && rejected < 48 || !c.rejects && rejected > 2 {
+			t.Errorf("%s: rejected %d of 50, want rejection %v", c.name, rejected, c.rejects)
+		}
+	}
+}
+
+func TestWalkByHand(t *testing.T) {
+	cases := []struct {
+		mu   []float64
+		up   bool
+		want float64
+	}{
+		{[]float64{1, -2, 3}, true, -2},   // .5; .5-1 = -.5; -.5-1.5
+		{[]float64{1, -2, 3}, false, 2},   // -.5; -.5+1 = .5; .5+1.5
+		{[]float64{1, 1, 1}, true, 1.5},   // harm pushes away from zero
+		{[]float64{1, 1, 1}, false, -1.5}, // on either side
+		{[]float64{-1, -1, -1}, true, 0.5},
+		{nil, true, 0},
+	}
+	for _, c := range cases {
+		if got := walk(c.mu, 0.5, c.up); math.Abs(got-c.want) > 1e-12 {
+			t.Errorf("walk(%v, up %v) = %v, want %v", c.mu, c.up, got, c.want)
+		}
+	}
+}
+
+func TestThreeVotersByHash(t *testing.T) {
+	seen := map[int]bool{}
+	for b := BuildID(1); b < 200; b++ {
+		n := 0
+		for self := range 9 {
+			set := testSettings()
+			set.Self, set.Peers = self, 9
+			if New(set, 1).rank(b) < voters {
+				n++
+				seen[self] = true
+			}
+		}
+		if n != voters {
+			t.Fatalf("build %d has %d voters", b, n)
+		}
+	}
+	if len(seen) != 9 {
+		t.Errorf("only %d of 9 routers ever vote", len(seen))
+	}
+}
+
+// voter is a router that is the first voter on build 2, with one server of each build.
+func voter(t *testing.T) *rig {
+	t.Helper()
+	for self := range 3 {
+		set := testSettings()
+		set.Self = self
+		if New(set, 1).rank(2) == 0 {
+			g := newRig(t, set, 11)
+			g.list(host(1))
+			g.release(1, 2, Released, 1)
+			g.release(2, 0, OnTrial, 0.1)
+			return g
+		}
+	}
+	t.Fatal("no first voter")
+	return nil
+}
+
+// hearCounts delivers a peer's report.
+func (g *rig) hearCounts(from int, incarnation uint32, stage int, c Counts) {
+	g.t.Helper()
+	m := Report{Incarnation: incarnation, Build: 2, Stage: stage, Counts: c, Total: c}
+	g.feed(PeerMessage{From: from, Data: m.Encode()})
+}
+
+func (g *rig) peer() int { return (g.r.s.Self + 1) % 3 }
+
+var (
+	harmless = Counts{Old: Arm{N: 300, Miss: 5}, New: Arm{N: 30, Miss: 0}}
+	harmful  = Counts{Old: Arm{N: 300, Miss: 5}, New: Arm{N: 30, Miss: 20}}
+	failing  = Counts{Old: Arm{N: 300, Miss: 5}, New: Arm{N: 30, Miss: 10, Err: 10}}
+)
+
+func TestVotes(t *testing.T) {
+	cases := []struct {
+		name   string
+		counts Counts
+		listed bool
+		wait   time.Duration
+		want   []Verdict
+	}{
+		{"no harm", harmless, true, 2 * time.Second, []Verdict{VoteOn}},
+		{"harm", harmful, true, 2 * time.Second, []Verdict{VoteBack}},
+		{"errors do not wait for the horizon", failing, false, 2 * time.Second, []Verdict{VoteBack}},
+		{"horizon reached, machines not listed", harmless, false, 2 * time.Second, nil},
+		{"time-out without outcomes", Counts{}, true, 6 * time.Second, []Verdict{VoteOn}},
+		{"before the time-out", Counts{}, true, 4 * time.Second, nil},
+		{"machines never listed", Counts{}, false, 11 * time.Second, []Verdict{VoteOn}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := voter(t)
+			g.pass(100 * ms)
+			if c.listed {
+				g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+			}
+			g.hearCounts(g.peer(), 5, 0, c.counts)
+			g.pass(c.wait)
+			var got []Verdict
+			for _, v := range g.votes {
+				got = append(got, v.Verdict)
+				if v.Build != 2 || v.Stage != 0 {
+					t.Errorf("vote %+v", v)
+				}
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("votes %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestVoteIsCastAgain(t *testing.T) {
+	cases := []struct {
+		reply   VoteReply
+		silent  bool
+		between time.Duration // until the next vote, at least and about
+	}{
+		{reply: VoteCounts, between: 3 * time.Second}, // renewed before it lapses
+		{reply: VoteMoot, between: voteRetry},
+		{reply: VoteThrottled, between: voteRetry},
+		{reply: VoteError, between: voteRetry},
+		{reply: VoteTimedOut, between: voteRetry},
+		{silent: true, between: 800*ms + voteRetry},
+	}
+	for _, c := range cases {
+		g := voter(t)
+		g.pass(100 * ms)
+		g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+		g.pass(5200 * ms)
+		if len(g.votes) != 1 {
+			t.Fatalf("%d votes, want 1", len(g.votes))
+		}
+		if !c.silent {
+			g.feed(ReleaseStatus{Build: 2, Phase: OnTrial, Cap: 0.1, IsReply: true, Reply: c.reply})
+		}
+		g.pass(c.between - 300*ms)
+		if len(g.votes) != 1 {
+			t.Errorf("reply %v: cast again too early", c.reply)
+		}
+		g.pass(time.Second)
+		if len(g.votes) != 2 {
+			t.Errorf("reply %v: %d votes, want 2", c.reply, len(g.votes))
+		}
+		g.release(2, 1, OnTrial, 0.5)
+		n := len(g.votes)
+		g.pass(900 * ms)
+		if len(g.votes) != n {
+			t.Errorf("reply %v: the vote went on after the stage had moved", c.reply)
+		}
+	}
+}
+
+func TestGuardAfterTheRelease(t *testing.T) {
+	g := voter(t)
+	g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+	g.release(2, 2, Released, 1)
+	g.hearCounts(g.peer(), 5, 3, failing)
+	g.pass(time.Second)
+	if len(g.votes) != 1 || g.votes[0].Verdict != VoteBack {
+		t.Fatalf("votes %v, want one for going back", g.votes)
+	}
+}
+
+// Danger: one slow answer of one must not send a good build back.
+func TestSlowTestNeedsOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		n, slow uint32
+		want    Verdict
+	}{{1, 1, VoteOn}, {40, 30, VoteBack}, {40, 12, VoteOn}} {
+		g := voter(t)
+		g.pass(100 * ms)
+		g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+		g.hearCounts(g.peer(), 5, 0, Counts{Old: Arm{N: 300, Slow: 75}, New: Arm{N: c.n, Slow: c.slow}})
+		g.pass(6 * time.Second)
+		if len(g.votes) == 0 || g.votes[0].Verdict != c.want {
+			t.Errorf("%d slow of %d: votes %v, want %v", c.slow, c.n, g.votes, c.want)
+		}
+	}
+}
+
+func TestFleetSlowed(t *testing.T) {
+	slow := func(old, fresh uint32) Counts {
+		return Counts{Old: Arm{N: 100, Slow: old}, New: Arm{N: 100, Slow: fresh}}
+	}
+	cases := []struct {
+		name   string
+		counts Counts
+		cap    float64
+		demand float64 // against the usual
+		want   bool
+	}{
+		{"both arms slowed", slow(80, 80), 0.5, 1, true},
+		{"as before the trial", slow(25, 25), 0.5, 1, false},
+		{"old servers only: dead or sick ones", slow(80, 25), 0.5, 1, false},
+		{"new servers only: the other tests' case", slow(25, 80), 0.5, 1, false},
+		{"a burst", slow(80, 80), 0.5, 1.5, false},
+		{"little traffic at the new build", slow(80, 80), 0.1, 1, false},
+		{"few outcomes", Counts{Old: Arm{N: 5, Slow: 5}, New: Arm{N: 5, Slow: 5}}, 0.5, 1, false},
+	}
+	for _, c := range cases {
+		g := voter(t)
+		k := g.r.classes["read"]
+		k.mark, k.next = 0.1, len(k.times)
+		g.r.usual, g.r.demand, g.r.rel.Cap = 10, 10*c.demand, c.cap
+		if got := g.r.slowed(c.counts); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestPooledCounts(t *testing.T) {
+	one := Counts{Old: Arm{N: 10, Miss: 1}, New: Arm{N: 2, Miss: 1}}
+	two := Counts{Old: Arm{N: 20, Miss: 2}, New: Arm{N: 4, Miss: 1}}
+	cases := []struct {
+		name string
+		say  func(g *rig)
+		want uint32 // old outcomes pooled
+	}{
+		{"cumulative, so a lost report costs nothing", func(g *rig) {
+			g.hearCounts(g.peer(), 1, 0, one)
+			g.hearCounts(g.peer(), 1, 0, two)
+		}, 20},
+		{"twice the same", func(g *rig) {
+			g.hearCounts(g.peer(), 1, 0, two)
+			g.hearCounts(g.peer(), 1, 0, two)
+		}, 20},
+		{"an older one comes late", func(g *rig) {
+			g.hearCounts(g.peer(), 1, 0, two)
+			g.hearCounts(g.peer(), 1, 0, one)
+		}, 20},
+		{"a restarted peer adds", func(g *rig) {
+			g.hearCounts(g.peer(), 1, 0, two)
+			g.hearCounts(g.peer(), 2, 0, one)
+		}, 30},
+		{"late report of the former life", func(g *rig) {
+			g.hearCounts(g.peer(), 2, 0, one)
+			g.hearCounts(g.peer(), 1, 0, two)
+		}, 30},
+		{"another stage", func(g *rig) { g.hearCounts(g.peer(), 1, 1, two) }, 0},
+		{"from itself", func(g *rig) { g.hearCounts(g.r.s.Self, 1, 0, two) }, 0},
+		{"from an unknown number", func(g *rig) { g.hearCounts(3, 1, 0, two) }, 0},
+		{"a stage beyond the last", func(g *rig) { g.hearCounts(g.peer(), 1, 9, two) }, 0},
+		{"truncated", func(g *rig) {
+			m := Report{Incarnation: 1, Build: 2, Counts: two, Total: two}
+			b := m.Encode()
+			g.feed(PeerMessage{From: g.peer(), Data: b[:len(b)-3]})
+		}, 0},
+		{"impossible counts", func(g *rig) {
+			g.hearCounts(g.peer(), 1, 0, Counts{Old: Arm{N: 3, Miss: 9}})
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := voter(t)
+			c.say(g)
+			if stage, _ := g.r.pooled(); stage.Old.N != c.want {
+				t.Errorf("%d old outcomes, want %d", stage.Old.N, c.want)
+			}
+		})
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	cases := []struct {
+		name    string
+		class   string
+		change  func(*Server)
+		closed  int
+		outcome Outcome
+		want    Arm
+	}{
+		{"served", "read", build(1), 0, OK, Arm{N: 1}},
+		{"failed", "read", build(1), 0, ServerError, Arm{N: 1, Miss: 1, Err: 1}},
+		{"timed out", "once", build(1), 0, TimedOut, Arm{N: 1, Miss: 1}},
+		{"no build answered", "read", build(1), 0, ConnectFailed, Arm{}},
+		{"class shut out of the stage, in the old arm too", "once", build(1), 1, OK, Arm{}},
+		{"young server", "read", started(origin - time.Second), 0, OK, Arm{}},
+		{"older server", "read", started(origin - 4*time.Second), 0, OK, Arm{N: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Rollout.ClosedStages = c.closed
+			g := newRig(t, set, 1)
+			g.list(host(1, c.change))
+			g.release(2, 0, OnTrial, 0.1)
+			g.end(g.arrive("r", c.class, 4*time.Second)[0], c.outcome)
+			if got := g.r.counts.Old; got != c.want {
+				t.Errorf("counted %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestFlaggedAnswersCountAsFailed(t *testing.T) {
+	g := newRig(t, testSettings(), 1)
+	g.list(host(1))
+	g.release(2, 0, OnTrial, 0.1)
+	g.pass(100 * ms)
+	g.end(g.arrive("r", "read", time.Second)[0], OK)
+	g.pass(time.Second)
+	g.feed(AnswerDisputed{Server: 9, Class: "read", Age: time.Second})
+	if got := g.r.counts.Old; got != (Arm{N: 1}) {
+		t.Fatalf("an unknown server's answer was counted: %+v", got)
+	}
+	g.feed(AnswerDisputed{Server: 1, Class: "read", Age: time.Second})
+	g.feed(AnswerDisputed{Server: 1, Class: "read", Age: time.Second}) // never more failed than counted
+	if got := g.r.counts.Old; got != (Arm{N: 1, Miss: 1, Wrong: 1}) {
+		t.Fatalf("counted %+v", got)
+	}
+}
+
+func TestServersThatFailAreLeftAlone(t *testing.T) {
+	for _, o := range []Outcome{ConnectFailed, Reset, ServerError, TimedOut} {
+		g := ready(t, testSettings(), host(1), host(2), host(3))
+		sent := 0
+		for i := range 60 {
+			id := fmt.Sprint("r", i)
+			for todo := g.arrive(id, "once", 4*time.Second); len(todo) > 0; {
+				s := todo[0]
+				if s.Server == 1 {
+					sent++
+					todo = g.end(s, o)
+				} else {
+					todo = g.end(s, OK)
+				}
+			}
+			g.pass(5 * ms)
+		}
+		if sent == 0 || sent > suspectAfter {
+			t.Errorf("outcome %v: %d sends to the failing server in 300 ms, want 1 to %d", o, sent, suspectAfter)
+		}
+	}
+}
+
+func TestReportCodec(t *testing.T) {
+	full := Report{Incarnation: 1 << 31, Build: 65535, Stage: 3, Demand: 7, Usual: 9,
+		Counts: Counts{Old: Arm{N: 1000, Miss: 20, Err: 3, Slow: 200, Wrong: 2}, New: Arm{N: 5, Miss: 5}},
+		Total:  Counts{Old: Arm{N: 3000, Miss: 30}, New: Arm{N: 50, Miss: 9, Err: 9}},
+		Busy:   []BusyServer{{Server: 4294967295, InFlight: 3}, {Server: 7, InFlight: 255}}}
+	for _, r := range []Report{{}, full} {
+		got, err := DecodeReport(r.Encode())
+		if err != nil || fmt.Sprint(got) != fmt.Sprint(r) {
+			t.Errorf("round trip: %+v, %v; want %+v", got, err, r)
+		}
+	}
+	for i := range 200 {
+		full.Busy = append(full.Busy, BusyServer{ServerID(i), 1})
+	}
+	if b := full.Encode(); len(b) > maxReport {
+		t.Errorf("report of %d bytes", len(b))
+	}
+	other := full.Encode()
+	other[0]++
+	for name, b := range map[string][]byte{"empty": nil, "another version": other, "cut head": full.Encode()[:7],
+		"cut tail": full.Encode()[:30], "too long": append(full.Encode(), make([]byte, maxReport)...)} {
+		if _, err := DecodeReport(b); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	seed := Report{Incarnation: 1, Build: 2, Counts: harmful, Total: harmful}
+	f.Add(seed.Encode())
+	f.Add([]byte{reportVersion})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeReport(b)
+		if err != nil {
+			return
+		}
+		for _, a := range r.arms() {
+			if !a.possible() {
+				t.Fatalf("impossible counts %+v", *a)
+			}
+		}
+		again, err := DecodeReport(r.Encode())
+		if err != nil || fmt.Sprint(again) != fmt.Sprint(r) {
+			t.Fatalf("round trip of %+v: %+v, %v", r, again, err)
+		}
+	})
+}
+
+// Identical events must give identical actions, whatever the order of maps.
+func TestReplayIsDeterministic(t *testing.T) {
+	run := func() []string {
+		set := testSettings()
+		set.Rollout.ForwardOnly, set.Rollout.PerClass = true, true
+		g := newRig(t, set, 42)
+		var servers []Server
+		for id := range 12 {
+			servers = append(servers, host(id+1, zone([]string{"a", "b"}[id%2]), build(BuildID(1+id/8))))
+		}
+		g.list(servers...)
+		g.release(2, 1, OnTrial, 0.5)
+		rng := rand.New(rand.NewPCG(8, 8))
+		var out []Send
+		for i := range 1500 {
+			class := g.r.s.Classes[rng.IntN(len(g.r.s.Classes))].Name
+			out = append(out, g.feed(RequestArrived{ID: RequestID(fmt.Sprint("r", i)), Class: class, Tenant: "t",
+				Key: rng.Uint64N(50), HasKey: true, Left: 2 * time.Second})...)
+			for len(out) > 5 {
+				s := out[0]
+				out = append(out[1:], g.end(s, []Outcome{OK, OK, OK, ServerError, ConnectFailed, Reset}[rng.IntN(6)])...)
+			}
+			if i%100 == 50 {
+				g.hearCounts(1+i%2, uint32(i), 1, harmless)
+			}
+			out = append(out, g.pass(7*ms)...)
+		}
+		return g.lines
+	}
+	first := run()
+	for range 5 {
+		if again := run(); !slices.Equal(first, again) {
+			for i := range first {
+				if i >= len(again) || first[i] != again[i] {
+					t.Fatalf("action %d differs: %s", i, first[i])
+				}
+			}
+			t.Fatal("more actions the second time")
+		}
+	}
+	if len(first) < 2000 {
+		t.Fatalf("only %d actions", len(first))
+	}
+}
--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,397 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestEveryRequestGetsOneAnswer(t *testing.T) {
+	cases := []struct {
+		name    string
+		class   string
+		servers []Server
+		left    time.Duration
+		outcome Outcome // of the first attempt, where one is made
+		refused bool
+		within  time.Duration
+	}{
+		// Danger: a client that leaves no tick in between was lost.
+		{"almost no time and no server", "read", nil, 5 * ms, OK, true, 0},
+		{"no server at all", "read", nil, 4 * time.Second, OK, true, time.Second + 100*ms},
+		{"all draining", "once", []Server{host(1, state(Draining))}, 4 * time.Second, OK, true, time.Second + 100*ms},
+		{"served", "read", []Server{host(1)}, 4 * time.Second, OK, false, 0},
+		{"unsafe that may have run", "once", []Server{host(1), host(2)}, 4 * time.Second, ServerError, false, 0},
+		{"zone keyed, no time left", "zoned", []Server{host(1), host(2)}, 50 * ms, TimedOut, false, 0},
+		{"keyed everywhere, no time left", "keyed", []Server{host(1), host(2)}, 50 * ms, TimedOut, true, 0},
+		{"safe, no time left", "read", []Server{host(1), host(2)}, 50 * ms, TimedOut, true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := ready(t, testSettings(), c.servers...)
+			for _, s := range g.arrive("r", c.class, c.left) {
+				g.end(s, c.outcome)
+			}
+			g.pass(c.within)
+			if g.finals["r"] != 1 || g.refused["r"] != c.refused {
+				t.Errorf("finals %d, refused %v; want one final answer, refused %v", g.finals["r"], g.refused["r"], c.refused)
+			}
+			g.pass(10 * time.Second)
+			g.feed(ClientGone{ID: "r"})
+			g.feed(AttemptDone{ID: "r", Outcome: TimedOut, Attempt: 0, Server: 1, Final: true})
+			if g.finals["r"] != 1 {
+				t.Errorf("%d final answers after the request ended", g.finals["r"])
+			}
+		})
+	}
+}
+
+func TestNothingIsSentBeforeTheFirstNews(t *testing.T) {
+	g := newRig(t, testSettings(), 1)
+	g.list(host(1))
+	if got := g.arrive("r", "read", time.Second); len(got) != 0 {
+		t.Fatalf("sent %v before any release news", got)
+	}
+	g.feed(ReleaseStatus{Build: 1, Phase: Released, Cap: 1})
+	if len(g.sends) != 1 {
+		t.Fatalf("%d sends after the news, want 1", len(g.sends))
+	}
+}
+
+func TestRepeatsKeepTheirKind(t *testing.T) {
+	servers := []Server{host(1, cell(1)), host(2, cell(1)), host(3, zone("b"), cell(2)), host(4, zone("b"), cell(2))}
+	find := map[ServerID]Server{}
+	for _, s := range servers {
+		find[s.ID] = s
+	}
+	cases := []struct {
+		class   string
+		outcome Outcome
+		wait    time.Duration // the attempt's time
+		again   bool
+		same    func(a, b Server) bool
+	}{
+		{"read", ServerError, 0, true, nil},
+		{"read", Reset, 0, true, nil},
+		{"once", ServerError, 0, false, nil},
+		{"once", Reset, 0, false, nil},
+		{"once", Cancelled, 0, false, nil},
+		{"once", ConnectFailed, 0, true, nil},
+		{"once", Rejected, 0, true, nil},
+		{"keyed", ServerError, 0, true, nil},
+		{"keyed", ServerError, 2100 * ms, false, nil},
+		{"zoned", ServerError, 0, true, func(a, b Server) bool { return a.Zone == b.Zone }},
+		{"zoned", ServerError, 2100 * ms, false, nil},
+		{"zoned", ConnectFailed, 2100 * ms, true, nil},
+		{"celled", ServerError, 0, true, func(a, b Server) bool { return a.Cell == b.Cell }},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s after %d and %v", c.class, c.outcome, c.wait), func(t *testing.T) {
+			for seed := range 20 {
+				g := newRig(t, testSettings(), uint64(seed))
+				g.list(servers...)
+				g.release(1, 2, Released, 1)
+				first := g.arrive("r", c.class, 4*time.Second)[0]
+				g.pass(c.wait)
+				next := g.end(first, c.outcome)
+				if (len(next) > 0) != c.again {
+					t.Fatalf("seed %d: repeated %v, want %v", seed, len(next) > 0, c.again)
+				}
+				if c.again && c.same != nil && !c.same(find[first.Server], find[next[0].Server]) {
+					t.Fatalf("seed %d: repeat went from %d to %d", seed, first.Server, next[0].Server)
+				}
+				if !c.again {
+					g.pass(5 * time.Second)
+					refusable := c.class == "keyed"
+					if g.finals["r"] != 1 || g.refused["r"] != refusable {
+						t.Fatalf("seed %d: finals %d refused %v", seed, g.finals["r"], g.refused["r"])
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestDrainsAreKept(t *testing.T) {
+	for _, gone := range []ServerState{Draining, Gone} {
+		g := ready(t, testSettings(), host(1), host(2))
+		g.feed(ServersListed{Servers: []Server{host(1, state(gone))}})
+		for i := range 50 {
+			for _, s := range g.arrive(fmt.Sprint("r", i), "read", time.Second) {
+				if s.Server == 1 {
+					t.Fatalf("sent to a server that is %v", gone)
+				}
+				g.end(s, OK)
+			}
+		}
+	}
+	g := ready(t, testSettings(), host(1), host(2))
+	g.list(host(2)) // absent from a complete list
+	for i := range 50 {
+		for _, s := range g.arrive(fmt.Sprint("r", i), "read", time.Second) {
+			if s.Server == 1 {
+				t.Fatal("sent to a server that left the list")
+			}
+			g.end(s, OK)
+		}
+	}
+}
+
+func TestRestartWithAStaleList(t *testing.T) {
+	g := newRig(t, testSettings(), 3)
+	g.list(host(1), host(2, build(2)))
+	g.release(2, 1, OnTrial, 0.5)
+	g.feed(ServersListed{Servers: []Server{host(1, state(Gone)), host(3)}})
+	for _, s := range g.arrive("r", "read", time.Second) {
+		if s.Server == 1 {
+			t.Fatal("sent to a server that was gone")
+		}
+	}
+	if len(g.sends) != 1 {
+		t.Fatalf("%d sends, want 1", len(g.sends))
+	}
+}
+
+// Danger: an outcome that arrives after its server restarted or left must not leave attempts counted for ever.
+func TestInFlightSurvivesRestartsOfServers(t *testing.T) {
+	g := ready(t, testSettings(), host(1))
+	s := g.arrive("r", "read", 4*time.Second)[0]
+	g.feed(ServersListed{Servers: []Server{host(1, started(g.now))}})
+	g.end(s, OK)
+	if n := g.r.servers[1].inFlight; n != 0 || g.r.inFlight != 0 {
+		t.Errorf("in flight %d at the server, %d in all; want none", n, g.r.inFlight)
+	}
+}
+
+// Three routers with equal traffic must keep a server that has just started under its budget in any window.
+func TestColdServersAreNotPushedOver(t *testing.T) {
+	set := testSettings()
+	const fleet, rate = 8, 40.0 // requests a second at each router
+	var rigs []*rig
+	for i := range 3 {
+		set.Self = i
+		g := newRig(t, set, uint64(i))
+		var servers []Server
+		for id := range fleet {
+			servers = append(servers, host(id+1))
+		}
+		g.list(servers...)
+		g.release(1, 2, Released, 1)
+		rigs = append(rigs, g)
+	}
+	var hits []time.Duration
+	begun := time.Duration(0)
+	for step := range 1600 {
+		for i, g := range rigs {
+			if step == 800 {
+				begun = g.now
+				g.feed(ServersListed{Servers: []Server{host(1, started(g.now))}})
+			}
+			for _, s := range g.arrive(fmt.Sprint("r", i, step), "read", time.Second) {
+				if s.Server == 1 && begun > 0 {
+					hits = append(hits, g.now)
+				}
+				g.end(s, OK)
+			}
+			g.pass(time.Duration(float64(time.Second) / rate))
+		}
+	}
+	capacity := 3 * rate / fleet // what each server carries is the least it can do
+	for i, from := range hits {
+		age := float64(from-begun) / float64(set.ColdTime)
+		if age >= 1 {
+			break
+		}
+		n := 0
+		for _, at := range hits[i:] {
+			if at <= from+set.FallTime {
+				n++
+			}
+		}
+		share := set.ColdFrom + (1-set.ColdFrom)*age
+		if budget := set.FallMultiple*share*capacity*set.FallTime.Seconds() + 3; float64(n) > budget {
+			t.Fatalf("%d requests from %v after the start, budget %.1f", n, from-begun, budget)
+		}
+	}
+	if len(hits) == 0 {
+		t.Fatal("the cold server was never used")
+	}
+}
+
+// exposure replays random traffic and checks every window against the rule.
+func TestExposureInEveryWindow(t *testing.T) {
+	type event struct {
+		at    time.Duration
+		class string
+		trial bool
+	}
+	cases := []struct {
+		name     string
+		cap      float64
+		perClass bool
+		closed   int
+		listed   BuildID // build of the new servers
+		told     BuildID // build of the news
+	}{
+		{"small cap", 0.1, false, 0, 2, 2},
+		{"large cap", 0.5, false, 0, 2, 2},
+		{"cap 0", 0, false, 0, 2, 2},
+		{"by class", 0.1, true, 0, 2, 2},
+		{"closed stage", 0.1, false, 2, 2, 2},
+		{"unnamed build counts as the first stage", 0.1, false, 0, 2, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Rollout.PerClass, set.Rollout.ClosedStages = c.perClass, c.closed
+			g := newRig(t, set, 5)
+			g.list(host(1), host(2), host(3, build(c.listed)), host(4, build(c.listed)), host(5, build(c.listed)))
+			if c.told == 2 {
+				g.release(2, 0, OnTrial, c.cap)
+			} else {
+				g.release(1, 2, Released, 1)
+			}
+			rng := rand.New(rand.NewPCG(1, 2))
+			classes := []string{"read", "once"}
+			var events []event
+			tried := 0
+			for i := range 4000 {
+				class := classes[rng.IntN(2)]
+				events = append(events, event{g.now, class, false})
+				for _, s := range g.arrive(fmt.Sprint("r", i), class, time.Second) {
+					if s.Server >= 3 {
+						events = append(events, event{g.now, class, true})
+						tried++
+						if c.closed > 0 && class != "read" {
+							t.Fatal("a request with an effect went to a closed stage")
+						}
+					}
+					g.end(s, OK)
+				}
+				g.pass(time.Duration(rng.ExpFloat64() * float64(20*ms)))
+			}
+			if c.cap == 0 && tried > 0 || c.cap > 0 && tried == 0 {
+				t.Fatalf("%d attempts at the build on trial with cap %v", tried, c.cap)
+			}
+			for i, from := range events {
+				taken, sent := map[string]int{}, map[string]int{}
+				for _, e := range events[i:] {
+					if e.at > from.at+set.Rollout.Window {
+						break
+					}
+					lane := ""
+					if c.perClass {
+						lane = e.class
+					}
+					if e.trial {
+						sent[lane]++
+					} else {
+						taken[lane]++
+					}
+					if limit := set.Rollout.Free + c.cap*float64(taken[lane]); float64(sent[lane]) > limit+1e-9 {
+						t.Fatalf("window from event %d: %d attempts, limit %.2f", i, sent[lane], limit)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestFallingCapBindsAtOnce(t *testing.T) {
+	g := newRig(t, testSettings(), 5)
+	g.list(host(1), host(2, build(2)))
+	g.release(2, 1, OnTrial, 0.5)
+	count := func(n int) (trial int) {
+		for i := range n {
+			for _, s := range g.arrive(fmt.Sprint(g.now, i), "read", time.Second) {
+				if s.Server == 2 {
+					trial++
+				}
+				g.end(s, OK)
+			}
+			g.pass(20 * ms)
+		}
+		return trial
+	}
+	if count(500) < 50 {
+		t.Fatal("the build on trial was hardly tried")
+	}
+	g.release(2, 1, GoingBack, 0)
+	if n := count(500); n != 0 {
+		t.Fatalf("%d attempts at a build that goes back with cap 0", n)
+	}
+}
+
+func TestForwardOnlyKeys(t *testing.T) {
+	set := testSettings()
+	set.Rollout.ForwardOnly = true
+	g := newRig(t, set, 9)
+	g.list(host(1), host(2), host(3, build(2)), host(4, build(2)))
+	g.release(2, 1, OnTrial, 0.5)
+	bound := map[uint64]bool{}
+	ask := func(i int, key uint64) []Send {
+		return g.feed(RequestArrived{ID: RequestID(fmt.Sprint("r", i)), Class: "read", Key: key, HasKey: true,
+			Left: time.Second})
+	}
+	for i := range 3000 {
+		key := uint64(i % 300)
+		for _, s := range ask(i, key) {
+			if bound[key] && s.Server < 3 {
+				t.Fatalf("key %d had been answered by the new build and went back", key)
+			}
+			g.end(s, OK)
+			bound[key] = bound[key] || s.Server >= 3
+		}
+		g.pass(10 * ms)
+	}
+	if len(bound) == 0 || g.r.classes["read"].pinned == 0 {
+		t.Fatal("no key was ever bound")
+	}
+	// Late news may return from 'back' to 'on trial': the keys are bound again.
+	g.release(2, 1, GoingBack, 0)
+	for _, s := range g.sends { // what was held for want of budget
+		if g.finals[s.ID] == 0 {
+			g.end(s, OK)
+		}
+	}
+	for key := range bound {
+		if got := ask(10000+int(key), key); len(got) != 1 || got[0].Server >= 3 {
+			t.Fatalf("key %d is held while its build goes back: %v", key, got)
+		}
+		break
+	}
+	g.release(2, 1, OnTrial, 0.5)
+	for i := range 300 {
+		for _, s := range ask(20000+i, uint64(i)) {
+			if bound[uint64(i)] && s.Server < 3 {
+				t.Fatalf("key %d was forgotten over late news", i)
+			}
+			g.end(s, OK)
+		}
+		g.pass(10 * ms)
+	}
+}
+
+// Danger: the answer to a request whose client has left still binds its key.
+func TestLateAnswerBindsItsKey(t *testing.T) {
+	set := testSettings()
+	set.Rollout.ForwardOnly = true
+	g := newRig(t, set, 9)
+	g.list(host(3, build(2)), host(1))
+	g.release(2, 2, OnTrial, 1)
+	for i := range 100 {
+		id := RequestID(fmt.Sprint("r", i))
+		for _, s := range g.feed(RequestArrived{ID: id, Class: "read", Key: uint64(i), HasKey: true, Left: time.Second}) {
+			g.feed(ClientGone{ID: id})
+			g.feed(AttemptDone{ID: id, Outcome: OK, Took: 50 * ms, Server: s.Server, Attempt: 0, Final: true})
+			if s.Server == 3 && g.r.sticky[uint64(i)] != 2 {
+				t.Fatal("the key was not bound")
+			}
+		}
+		g.pass(20 * ms)
+	}
+	if len(g.r.sticky) == 0 {
+		t.Fatal("no answer came from the new build")
+	}
+}
