--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -52,7 +52,6 @@
 			WarmKeys: v.GetBool("family_info", "warm_keys"), MinStage: ms("family_info", "least_stage_ms"),
 			VoteTTL: ms("family_info", "ballot_ttl_ms"), VoteTimeout: ms("family_info", "api_timeout_ms"),
 			VotesPerSec: v.GetFloat64("family_info", "votes_per_s"), Clocked: text("family_info", "decided_by") == "clocked",
-			FlagShare: v.GetFloat64("family_info", "complaint_share"),
 		},
 	}
 	for i, c := range v.GetArray("classes") {
--- a/logic/api.go
+++ b/logic/api.go
@@ -69,7 +69,6 @@
 	VoteTimeout  time.Duration
 	VotesPerSec  float64
 	Clocked      bool // stages advance on their own; votes can only hold or send back
-	FlagShare    float64
 }
 
 // Settings is what a router learns at start-up.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,12 +48,12 @@
 	slowPart      = 0.75             // of the answers before a trial were faster than the mark
 	fleetCap      = 0.4              // with less traffic a build hardly slows a fleet
 	fleetTime     = 10 * time.Second // after the release; later slowness has other causes
-	busyDemand    = 1.25             // beyond this multiple of the usual requests, slowness is laid to them
+	busyDemand    = 1.15             // beyond this multiple of the usual requests, slowness is laid to them
 	fleetMargin   = 0.2              // more slow answers than before the trial by this are harm to the fleet
 	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8              // of peers' attempts out, each report period
 	spillOver     = 2.0              // drawn requests go to the old build if new servers are so much busier
-	guardMargin   = 0.01             // more errors than this, beyond the old build's, are harm
+	guardMargin   = 0.003            // more errors than this, beyond the old build's, are harm
 	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
@@ -82,12 +82,12 @@
 	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
 	seen    map[uint64]int     // forward-only: how often a key came in this stage
 
-	reqs                    map[RequestID]*request
-	waiting                 []*request
-	inFlight                int
-	limit, answers, late    float64 // the concurrency limit, and outcomes since it was last set
-	retries, rate, arrived  float64 // repeats earned; requests a second, smoothed; since the last tick
-	demand, usual, unserved float64 // new requests a second; before the trial; not served since the tick
+	reqs                          map[RequestID]*request
+	waiting                       []*request
+	inFlight                      int
+	limit, answers, late          float64 // the concurrency limit, and outcomes since it was last set
+	retries, rate, arrived, ticks float64 // repeats earned; requests a second, smoothed; since the last tick
+	demand, usual, unserved       float64 // new requests a second; before the trial; unserved since the tick
 
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
@@ -183,12 +183,13 @@
 // tick does what only time brings: rates, the limit, the queue, reports and votes.
 func (r *Router) tick() {
 	r.do(SetTimer{After: tickEvery, Token: 1})
-	keep := math.Exp(-tickEvery.Seconds() / 2)
-	r.rate = r.rate*keep + r.arrived/tickEvery.Seconds()*(1-keep)
-	r.demand = r.demand*keep + (r.arrived-r.unserved)/tickEvery.Seconds()*(1-keep)
+	r.ticks++
+	step := max(tickEvery.Seconds()/2, 1/r.ticks) // a plain mean at first, then over about 2 s
+	r.rate += step * (r.arrived/tickEvery.Seconds() - r.rate)
+	r.demand += step * ((r.arrived-r.unserved)/tickEvery.Seconds() - r.demand)
 	r.arrived, r.unserved = 0, 0
 	for _, t := range r.tenants {
-		t.rate, t.came = t.rate*keep+t.came/tickEvery.Seconds()*(1-keep), 0
+		t.rate, t.came = t.rate+step*(t.came/tickEvery.Seconds()-t.rate), 0
 	}
 	r.adjustLimit()
 	r.drainQueue()
@@ -967,15 +968,13 @@
 }
 
 // guard is the exception for builds that turn bad after their test: late, under load, or for a class that
-// was closed, or by few wrong answers, of which only a known share is flagged. It asks the same walk whether
-// the new build fails more often than the old one did. Healthy builds hardly ever answer with an error,
-// whatever the load, so asking often costs good builds little.
+// was closed, or by few wrong answers, of which only a part is flagged. It asks the same walk whether the
+// new build errs more often than the old one did, by less than the margin of the main test: healthy builds
+// hardly ever err, whatever the load, so asking often costs good builds little.
 func (r *Router) guard(c Counts) bool {
-	failed := func(a Arm) uint32 {
-		return min(a.N, a.Err+uint32(float64(a.Wrong)/max(r.s.Rollout.FlagShare, 0.05)))
-	}
-	return c.New.Err+c.New.Wrong >= guardErrors &&
-		harm(r.rng, c.Old.N, failed(c.Old), c.New.N, failed(c.New), guardMargin) < level
+	erred := c.New.Err + c.New.Wrong
+	return erred >= guardErrors &&
+		harm(r.rng, c.Old.N, c.Old.Err+c.Old.Wrong, c.New.N, erred, guardMargin) < level
 }
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
--- a/logic/report.go
+++ b/logic/report.go
@@ -76,7 +76,7 @@
 
 // possible tells whether counts can be cumulative counts of attempts.
 func (a Arm) possible() bool {
-	return a.N <= maxCount && a.Miss <= a.N && a.Err <= a.Miss && a.Slow <= a.N && a.Wrong <= a.Miss
+	return a.N <= maxCount && a.Miss <= a.N && a.Err+a.Wrong <= a.Miss && a.Slow <= a.N
 }
 
 func (r *Report) arms() []*Arm {
