--- a/logic/logic.go
+++ b/logic/logic.go
@@ -391,14 +391,14 @@
 	if stage < r.s.Rollout.ClosedStages && c.Repeat != Safe {
 		return 0
 	}
-	if len(r.base) == 0 {
+	places := float64(r.fit(r.base))
+	if places == 0 {
 		return 1
 	}
 	fresh := 0.0
 	for _, s := range r.trial {
 		fresh += r.ramp(s)
 	}
-	places := float64(len(r.base))
 	if r.s.Rollout.Rolling {
 		places += float64(len(r.trial))
 	}
@@ -435,7 +435,7 @@
 			all = append(all, s)
 		}
 	}
-	if len(all) == 0 {
+	if len(all) == 0 && q.attempts == 0 { // once only, else repeats storm where all refuse
 		near, all = nil, suspects
 	}
 	if len(all) == 0 {
@@ -476,27 +476,31 @@
 			return s
 		}
 	}
-	if len(r.base) > 0 && r.base[0].Build >= floor {
-		if s := r.pick(r.base, q); s != nil {
-			return s
-		}
-	}
-	// Nothing of the ordinary build is left: the build on trial serves within its cap.
-	if len(r.base) == 0 && len(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
+	// Danger: a stale list names servers that have long gone. Where none of the ordinary build is fit, the
+	// build on trial serves within its cap.
+	if r.fit(r.base) == 0 && r.fit(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
 		return r.pick(r.trial, q)
 	}
+	if len(r.base) > 0 && r.base[0].Build >= floor {
+		return r.pick(r.base, q)
+	}
 	return nil
 }
 
+// fit counts the servers of a group that are not suspect.
+func (r *Router) fit(group []*server) (n int) {
+	for _, s := range group {
+		n += int(count(s.until <= r.now))
+	}
+	return n
+}
+
 // pinnedTo is the lowest build that may serve the request's key (forward-only).
 func (r *Router) pinnedTo(q *request) BuildID {
 	if !r.s.Rollout.ForwardOnly || !q.HasKey {
 		return 0
 	}
-	if b := r.sticky[q.Key]; !r.bad[b] {
-		return b
-	}
-	return 0
+	return r.sticky[q.Key] * BuildID(count(!r.bad[r.sticky[q.Key]]))
 }
 
 // ---- The life of a request ----
@@ -603,9 +607,9 @@
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	switch e.Outcome {
-	case OK, Rejected:
+	case OK:
 		s.fails, s.pause, s.until = 0, 0, 0
-	case ConnectFailed, Reset:
+	case ConnectFailed, Reset, Rejected:
 		r.blame(s, true)
 	case TimedOut, ServerError:
 		r.blame(s, false)
@@ -952,10 +956,7 @@
 		}
 	}
 	if verdict != VoteNone {
-		wait := voteStagger
-		if verdict == VoteBack {
-			wait = backStagger
-		}
+		wait := map[Verdict]time.Duration{VoteOn: voteStagger, VoteBack: backStagger}[verdict]
 		v.tested, v.verdict, v.at = true, verdict, r.now+time.Duration(rank)*wait
 		r.do(Log{fmt.Sprintf("build %d stage %d: %s; old, new (n miss err slow wrong): %v total %v",
 			r.rel.Build, r.rel.Stage, why, stage, total)})
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -395,3 +395,28 @@
 		t.Fatal("no answer came from the new build")
 	}
 }
+
+// Danger: a stale list names servers that have long gone. Requests must neither storm at them nor go unserved
+// while the build on trial may take them.
+func TestStaleListFallsToTheBuildOnTrial(t *testing.T) {
+	g := newRig(t, testSettings(), 4)
+	g.list(host(1), host(2), host(3), host(4, build(2)), host(5, build(2)))
+	g.release(2, 2, OnTrial, 1)
+	gone, served := 0, 0
+	for i := range 400 {
+		for todo := g.arrive(fmt.Sprint("r", i), "read", 2*time.Second); len(todo) > 0; {
+			s := todo[0]
+			if s.Server <= 3 {
+				gone++
+				todo = g.end(s, ConnectFailed)
+			} else {
+				served++
+				todo = g.end(s, OK)
+			}
+		}
+		g.pass(20 * ms)
+	}
+	if gone > 60 || served < 360 {
+		t.Errorf("%d attempts at servers that are gone, %d of 400 served", gone, served)
+	}
+}
