--- a/logic/judge_test.go
+++ b/logic/judge_test.go
@@ -529,3 +529,37 @@
 		t.Fatalf("only %d actions", len(first))
 	}
 }
+
+// Danger: one sick host of a build passes for a bad build. What it fails in a row does not count, unless its
+// build's other hosts are sick too.
+func TestLoneSickHostIsNoEvidence(t *testing.T) {
+	cases := []struct {
+		name string
+		sick int // hosts 1 to this fail everything
+		most uint32
+		last uint32 // at least
+	}{
+		{"one of four", 1, suspectAfter, 1},
+		{"all four", 4, 1000, 3 * suspectAfter},
+	}
+	for _, c := range cases {
+		set := testSettings()
+		set.MaxAttempts = 1
+		g := newRig(t, set, 6)
+		g.list(host(1), host(2), host(3), host(4))
+		g.release(2, 0, OnTrial, 0.1)
+		for i := range 600 {
+			for _, s := range g.arrive(fmt.Sprint("r", i), "read", 2*time.Second) {
+				if int(s.Server) <= c.sick {
+					g.end(s, ServerError)
+				} else {
+					g.end(s, OK)
+				}
+			}
+			g.pass(20 * ms)
+		}
+		if n := g.r.counts.Old.Err; n > c.most || n < c.last {
+			t.Errorf("%s: %d errors counted, want %d to %d", c.name, n, c.last, c.most)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,7 @@
 	busyFade      = 0.8              // of peers' attempts out, each report period
 	spillOver     = 2.0              // drawn requests go to the old build if new servers are so much busier
 	guardMargin   = 0.003            // more errors than this, beyond the old build's, are harm
+	loneFit       = 0.67             // with this part of its build's hosts fit, a failing host stands alone
 	limitStart    = 3.0              // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
@@ -323,15 +324,6 @@
 	return b > r.rel.Build || b == r.rel.Build && r.rel.Phase != Released
 }
 
-// earn credits every budget of the build on trial with a request taken.
-func (r *Router) earn(c *class) {
-	if r.trialID != 0 {
-		limit, _ := r.trialCap(r.trialID)
-		b := r.budget(r.trialID, c)
-		b.earned = min(1, b.earned+limit)
-	}
-}
-
 // mayTry tells whether an attempt of this class may go to the build on trial now, and takes it if asked.
 func (r *Router) mayTry(build BuildID, c *class, take bool) bool {
 	limit, stage := r.trialCap(build)
@@ -509,7 +501,6 @@
 	c := r.classes[e.Class]
 	if c == nil { // a class outside the settings is treated as the strictest
 		c = &class{Class: Class{Name: e.Class, Repeat: Unsafe, Aim: e.Left, Deadline: e.Left, Worth: 1}}
-		r.classes[e.Class] = c
 	}
 	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
 	r.reqs[e.ID] = q
@@ -522,7 +513,10 @@
 			q.order *= r.s.OverShare
 		}
 	}
-	r.earn(c)
+	if limit, _ := r.trialCap(r.trialID); r.trialID != 0 { // every request earns its part of an attempt
+		b := r.budget(r.trialID, c)
+		b.earned = min(1, b.earned+limit)
+	}
 	r.draw(q)
 	if !r.try(q) {
 		r.hold(q)
@@ -708,7 +702,14 @@
 		c.next++
 	}
 	closed := r.rel.Phase == OnTrial && r.rel.Stage < r.s.Rollout.ClosedStages && c.Repeat != Safe
-	unheard := e.Outcome == ConnectFailed // a cut or dead host: no build has looked at the request
+	group := r.base
+	if q.to.Build == r.trialID {
+		group = r.trial
+	}
+	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
+	// most hosts of its build are fit; and no build has looked at a request that found no connection.
+	lone := q.server.fails >= suspectAfter && float64(r.fit(group)) >= loneFit*float64(len(group))
+	unheard := e.Outcome == ConnectFailed || lone
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
 	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
 		q.sentRel.Build != r.rel.Build {
