--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,9 +47,9 @@
 	guardErrors   = 4                // fewer errors than this say nothing
 	slowPart      = 0.75             // of the answers before a trial were faster than the mark
 	fleetCap      = 0.4              // with less traffic a build hardly slows a fleet
-	fleetTime     = 10 * time.Second // after the release; later slowness has other causes
+	fleetTime     = 7 * time.Second // after the release; later slowness has other causes
 	busyDemand    = 1.15             // beyond this multiple of the usual requests, slowness is laid to them
-	fleetMargin   = 0.2              // more slow answers than before the trial by this are harm to the fleet
+	fleetMargin   = 0.1              // more slow answers than before the trial by this are harm to the fleet
 	slowMargin    = 0.2              // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8              // of peers' attempts out, each report period
 	spillOver     = 2.0              // drawn requests go to the old build if new servers are so much busier
