--- a/logic/logic.go
+++ b/logic/logic.go
@@ -136,12 +136,8 @@
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &class{Class: c}
 	}
-	quotas := 0.0
 	for _, t := range s.Tenants {
-		quotas += t.Quota
-	}
-	for _, t := range s.Tenants {
-		r.tenants[t.Name] = &tenant{part: t.Quota / quotas}
+		r.tenants[t.Name] = &tenant{part: t.Share}
 	}
 	return r
 }
@@ -821,17 +817,11 @@
 		return 1
 	}
 	mOld, mNew, p := 1-float64(oldBad)/nOld, 1-float64(newBad)/nNew, nNew/n
-	mu := make([]float64, 0, int(n))
-	add := func(count uint32, v float64) {
-		for range count {
-			mu = append(mu, v)
-		}
-	}
 	diff := mOld - mNew - margin
-	add(oldN-oldBad, diff+(1-mOld)/(1-p))
-	add(oldBad, diff-mOld/(1-p))
-	add(newN-newBad, diff-(1-mNew)/p)
-	add(newBad, diff+mNew/p)
+	mu := slices.Concat(slices.Repeat([]float64{diff + (1-mOld)/(1-p)}, int(oldN-oldBad)),
+		slices.Repeat([]float64{diff - mOld/(1-p)}, int(oldBad)),
+		slices.Repeat([]float64{diff - (1-mNew)/p}, int(newN-newBad)),
+		slices.Repeat([]float64{diff + mNew/p}, int(newBad)))
 	square := 0.0 // the mean of mu is diff, since the residuals of each arm sum to nothing
 	for _, v := range mu {
 		square += (v - diff) * (v - diff)
