--- a/logic/judge_test.go
+++ b/logic/judge_test.go
@@ -254,6 +254,23 @@
 	}
 }
 
+func TestClockedPlatformGetsNoVoteForGoingOn(t *testing.T) {
+	for _, c := range []struct {
+		counts Counts
+		want   int
+	}{{harmless, 0}, {harmful, 1}} {
+		g := voter(t)
+		g.r.s.Rollout.Clocked = true
+		g.pass(100 * ms)
+		g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+		g.hearCounts(g.peer(), 5, 0, c.counts)
+		g.pass(1500 * ms)
+		if len(g.votes) != c.want {
+			t.Errorf("votes %v, want %d", g.votes, c.want)
+		}
+	}
+}
+
 func TestGuardAfterTheRelease(t *testing.T) {
 	g := voter(t)
 	g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -952,6 +952,9 @@
 		r.do(Log{fmt.Sprintf("build %d stage %d: %s; old, new (n miss err slow wrong): %v total %v",
 			r.rel.Build, r.rel.Stage, why, stage, total)})
 	}
+	if v.verdict == VoteOn && r.s.Rollout.Clocked {
+		return // such a stage moves on by itself
+	}
 	if !v.tested || v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
 		return
 	}
