--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,8 +53,9 @@
 	slowMargin    = 0.2             // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8             // of peers' attempts out, each report period
 	spillOver     = 2.0             // drawn requests go to the old build if new servers are so much busier
-	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
+	guardMargin   = 0.001           // more errors than this, beyond the old build's, are harm
 	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
+	fleetMiss     = 0.05            // slow answers are no harm to the fleet while no more than this part misses the aim
 	limitStart    = 3.0             // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
@@ -855,10 +856,10 @@
 // ---- Votes ----
 
 type voteState struct {
-	verdict Verdict
-	at, out time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
-	guardAt time.Duration
-	tested  bool
+	verdict      Verdict
+	at, out      time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
+	guardAt      time.Duration
+	tested, busy bool
 }
 
 // rank is this router's place among those that may vote on a build; the first few are its voters.
@@ -974,8 +975,8 @@
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
 // new shows nothing: the walk compares each arm with the time before the trial, and both must have slowed.
-// Where one arm has not, dead or sick servers are the cause. The margin is wide, since bursts slow a fleet
-// too; it hurts where one strikes just when a build has got much traffic.
+// Where one arm has not, dead or sick servers are the cause; in a stage that saw a burst, that is. It hurts
+// where much of a fleet is lost just when a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual := r.demand, r.usual
@@ -984,7 +985,8 @@
 			demand, usual = demand+float64(m.Demand)/10, usual+float64(m.Usual)/10
 		}
 	}
-	if !wide || demand >= busyDemand*usual || max(stage.Old.N, stage.New.N) < horizon {
+	r.vote.busy = r.vote.busy || demand >= busyDemand*usual // the stage's counts hold a burst
+	if !wide || r.vote.busy || max(stage.Old.N, stage.New.N) < horizon {
 		return false
 	}
 	before := 0
@@ -995,7 +997,8 @@
 	}
 	for _, now := range []Arm{stage.Old, stage.New} {
 		slow := uint32((1 - slowPart) * float64(before))
-		if now.N >= horizon && harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) >= level {
+		if now.N >= horizon && (float64(now.Miss) < fleetMiss*float64(now.N) || // slow, but still in time
+			harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) >= level) {
 			return false
 		}
 	}
