--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,9 +53,9 @@
 	slowMargin    = 0.2             // more slow answers than this, beyond the old build's, are harm
 	busyFade      = 0.8             // of peers' attempts out, each report period
 	spillOver     = 2.0             // drawn requests go to the old build if new servers are so much busier
-	guardMargin   = 0.001           // more errors than this, beyond the old build's, are harm
+	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
 	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
-	fleetMiss     = 0.05            // slow answers are no harm to the fleet while no more than this part misses the aim
+	fleetMiss     = 0.05            // slow answers are no harm while no more than this part misses the aim
 	limitStart    = 3.0             // concurrency limit at start, attempts a server
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
