--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,6 @@
 // This file holds every decision of the router, its tables and its tuned values. Read api.go first: the
-// settings, events and actions are there. report.go is only the codec of the messages between routers.
+// settings, events and actions are there. report.go is only the codec of the messages between routers;
+// what is kept between events is laid out in state.go. Neither decides anything.
 //
 // Order: tuned values; the router and its events; servers (list, health, cold ramp); builds and exposure;
 // choice of a server; the life of a request; overload; evidence; the test; votes.
@@ -24,7 +25,9 @@
 	trialPart    = 0.8                    // first sends to the build on trial, as a part of the cap
 	youngServer  = 3 * time.Second        // outcomes of servers younger than this are no evidence
 	stageTimeout = 5 * time.Second        // after the newest machine's listing a voter tests what it has
-	reportEvery  = 250 * time.Millisecond // how often counts go to the voters
+	reportEvery  = 250 * time.Millisecond // counts go to the voters so often at most
+	reportLast   = 2 * time.Second        // and so often at least
+	reportBytes  = 64                     // bytes of messages that a request pays for
 )
 
 // Values for what the design leaves open.
@@ -42,7 +45,6 @@
 	suspectAfter  = 2               // failures in a row that make a server suspect
 	coldPart      = 0.6             // part of a cold server's fall budget that all routers together may use
 	crossLoad     = 6.0             // attempts in flight that one point of cross-zone price is worth
-	carryPart     = 1.0             // the trial share may exceed the new build's part of the fleet this much
 	guardEvery    = time.Second     // pause between the guards' tests
 	guardErrors   = 4               // fewer errors than this say nothing
 	slowPart      = 0.75            // of the answers before a trial were faster than the mark
@@ -51,12 +53,14 @@
 	busyDemand    = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
 	fleetMargin   = 0.1             // more slow answers than before the trial by this are harm to the fleet
 	slowMargin    = 0.2             // more slow answers than this, beyond the old build's, are harm
-	busyFade      = 0.8             // of peers' attempts out, each report period
+	busyLife      = time.Second     // attempts out that a peer told of count so long
+	throws        = 4               // random draws of a server before a search
 	spillOver     = 2.0             // drawn requests go to the old build if new servers are so much busier
 	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
 	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
 	fleetMiss     = 0.05            // slow answers are no harm while no more than this part misses the aim
 	limitStart    = 3.0             // concurrency limit at start, attempts a server
+	limitLeast    = 1.5             // and at least, attempts a server that all routers together may have out
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	stickySeen    = 2   // under forward-only a key met more often than this does not try a closed stage
@@ -71,12 +75,13 @@
 	out   []Action
 	begun bool
 
-	servers           map[ServerID]*server
-	list, base, trial []*server // all by id; those of the ordinary build; those of the build on trial
-	trialID           BuildID   // 0: none
-	rel               ReleaseStatus
-	relKnown          bool
-	bad               map[BuildID]bool // builds told to go back
+	servers     map[ServerID]*server
+	list        []*server // all, by id
+	base, trial group     // those of the ordinary build; those of the build on trial
+	trialID     BuildID   // 0: none
+	rel         ReleaseStatus
+	relKnown    bool
+	bad         map[BuildID]bool // builds told to go back
 
 	classes map[string]*class
 	tenants map[string]*tenant
@@ -94,38 +99,12 @@
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
 	peers                       map[peerKey]Report
-	heard                       []Report      // the latest of each peer
+	heard                       map[int]told  // the latest of each peer
+	voters                      []int         // who votes on the present build, in order
 	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
 	vote                        voteState
 }
 
-type class struct {
-	Class
-	took   float64     // mean time of served attempts in seconds, smoothed
-	pinned float64     // share of requests whose key is bound to the build on trial, smoothed
-	times  [64]float64 // of the latest answers before a trial, a ring
-	next   int
-	mark   float64 // slower than this is slow; 0: not known
-}
-
-type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
-
-type request struct {
-	RequestArrived
-	class             *class
-	arrived, deadline time.Duration
-	order             float64 // worth, for the queue
-	attempts          int
-	out               bool // an attempt is out
-	server            *server
-	sentAt, ranAt     time.Duration // the last send; the send of the first attempt that may have run
-	sentRel           ReleaseStatus // the release as known at the send
-	sentTrial         bool
-	to, ranOn         Server // the server as listed at the send; at the first that may have run
-	mayRan            bool
-	draw, ended       bool // drawn for the build on trial; answered or gone
-}
-
 // New starts a router that knows its settings only.
 func New(s Settings, seed uint64) *Router {
 	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
@@ -133,7 +112,7 @@
 		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
 		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
 		retries: retryMax}
-	r.incarnation, r.heard = r.rng.Uint32(), make([]Report, s.Peers)
+	r.incarnation, r.heard = r.rng.Uint32(), map[int]told{}
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &class{Class: c}
 	}
@@ -197,14 +176,6 @@
 
 // ---- Servers: the list, health and the cold ramp ----
 
-type server struct {
-	Server
-	inFlight, fails       int           // attempts out; failures in a row
-	peerBusy              []float64     // attempts that peers have out there, fading
-	pause, until, spentAt time.Duration // suspect until then; see coldRoom
-	spent                 float64       // cold budget used, in requests
-}
-
 func (r *Router) listed(e ServersListed) {
 	if e.Failed {
 		r.do(Watch{}) // only who asked is told of a failure
@@ -218,7 +189,7 @@
 		case entry.State == Gone:
 			delete(r.servers, entry.ID)
 		case have == nil:
-			r.servers[entry.ID] = &server{Server: entry, peerBusy: make([]float64, r.s.Peers)}
+			r.servers[entry.ID] = &server{Server: entry}
 		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
 			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, 0, entry
 		default:
@@ -260,7 +231,8 @@
 	if ramp >= 1 || len(r.list) == 0 {
 		return true
 	}
-	rate := coldPart * r.s.FallMultiple * ramp * r.rate / float64(max(1, max(len(r.base), len(r.trial))))
+	fair := r.rate / float64(max(1, len(r.base.all), len(r.trial.all)))
+	rate := coldPart * r.s.FallMultiple * ramp * fair
 	depth := max(1, rate*r.s.FallTime.Seconds()/2)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
 	s.spentAt = r.now
@@ -283,19 +255,6 @@
 
 // ---- Builds and exposure ----
 
-type budgetKey struct {
-	build BuildID
-	class string // empty where all classes count together
-}
-
-// budget bounds the attempts at a build on trial. What requests earn is kept up to one attempt; the rest
-// of the free number is slots that each come back one window after their use. So every window holds at
-// most free + cap x requests, wherever it begins.
-type budget struct {
-	earned float64
-	slots  []time.Duration // when each free slot was last used
-}
-
 func (r *Router) budget(build BuildID, c *class) *budget {
 	k := budgetKey{build: build}
 	if r.s.Rollout.PerClass {
@@ -347,7 +306,7 @@
 
 // regroup sorts the servers into those of the base build and those of the build on trial.
 func (r *Router) regroup() {
-	r.base, r.trial, r.trialID = r.base[:0], r.trial[:0], 0
+	r.base, r.trial, r.trialID = group{}, group{}, 0
 	var baseID BuildID
 	for _, s := range r.list {
 		if s.State != Ready {
@@ -366,9 +325,9 @@
 	}
 	for _, s := range r.list {
 		if s.State == Ready && s.Build == baseID {
-			r.base = append(r.base, s)
+			r.base.add(s, r.s.Zone)
 		} else if s.State == Ready && r.trialID != 0 && s.Build == r.trialID {
-			r.trial = append(r.trial, s)
+			r.trial.add(s, r.s.Zone)
 		}
 	}
 }
@@ -385,59 +344,61 @@
 		return 1
 	}
 	fresh := 0.0
-	for _, s := range r.trial {
+	for _, s := range r.trial.all {
 		fresh += r.ramp(s)
 	}
 	if r.s.Rollout.Rolling {
-		places += float64(len(r.trial))
+		places += float64(len(r.trial.all))
 	}
-	return min(trialPart*limit, carryPart*fresh/places)
+	return min(trialPart*limit, fresh/places)
 }
 
 // ---- Choice of a server ----
 
 // load is what two choices compare: attempts in flight, by size and warmth.
 func (r *Router) load(s *server) float64 {
-	n := float64(s.inFlight + 1)
-	for _, b := range s.peerBusy {
-		n += b
-	}
-	l := n / (max(s.Weight, 0.01) * r.ramp(s))
+	l := float64(s.inFlight+s.peerBusy+1) / (max(s.Weight, 0.01) * r.ramp(s))
 	if s.Zone != r.s.Zone {
 		l += crossLoad * r.s.CrossZoneCost
 	}
 	return l
 }
 
-// pick makes two random choices among the usable servers of a group and takes the less loaded. Suspects
-// come into it only where nothing else is left.
-func (r *Router) pick(group []*server, q *request) *server {
-	var near, all, suspects []*server
-	for _, s := range group {
-		switch {
-		case !r.repeatOK(q, s) || !r.coldRoom(s, false):
-		case s == q.server || s.until > r.now:
-			suspects = append(suspects, s)
-		case s.Zone == r.s.Zone:
-			near, all = append(near, s), append(all, s)
-		default:
-			all = append(all, s)
-		}
+// pick makes two random choices among the usable servers of a group, one of them near, and takes the less
+// loaded. Suspects come into it only where nothing else is left.
+func (r *Router) pick(g group, q *request) *server {
+	a := r.throw(g.all, q, false)
+	suspects := a == nil && q.attempts == 0 // once only, else repeats storm where all refuse
+	if suspects {
+		a = r.throw(g.all, q, true)
 	}
-	if len(all) == 0 && q.attempts == 0 { // once only, else repeats storm where all refuse
-		near, all = nil, suspects
+	b := cmp.Or(r.throw(g.near, q, suspects), r.throw(g.all, q, suspects))
+	if a == nil || b != nil && r.load(b) <= r.load(a) {
+		return b
 	}
-	if len(all) == 0 {
-		return nil
+	return a
+}
+
+// throw draws a usable server: by chance, or where that fails some times the next one after a random place.
+// So a choice costs the same in a fleet of any size.
+func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
+	usable := func(s *server) bool {
+		return r.repeatOK(q, s) && r.coldRoom(s, false) && (suspects || s != q.server && s.until <= r.now)
 	}
-	if len(near) == 0 {
-		near = all
+	for range min(throws, len(servers)) {
+		if s := servers[r.rng.IntN(len(servers))]; usable(s) {
+			return s
+		}
 	}
-	a, b := all[r.rng.IntN(len(all))], near[r.rng.IntN(len(near))]
-	if r.load(b) <= r.load(a) {
-		return b
+	if len(servers) > 0 {
+		start := r.rng.IntN(len(servers))
+		for i := range servers {
+			if s := servers[(start+i)%len(servers)]; usable(s) {
+				return s
+			}
+		}
 	}
-	return a
+	return nil
 }
 
 // repeatOK tells whether an attempt at this server would keep the rule on repeats.
@@ -456,7 +417,7 @@
 func (r *Router) choose(q *request) *server {
 	floor := r.pinnedTo(q)
 	wanted := floor == r.trialID || q.draw && q.attempts == 0
-	if len(r.trial) > 0 && wanted && r.mayTry(r.trialID, q.class, false) {
+	if len(r.trial.all) > 0 && wanted && r.mayTry(r.trialID, q.class, false) {
 		s, o := r.pick(r.trial, q), r.pick(r.base, q)
 		if s != nil && o != nil && floor == 0 && r.load(s) > spillOver*r.load(o) {
 			return o // busier servers would pass for a worse build
@@ -470,15 +431,15 @@
 	if r.fit(r.base) == 0 && r.fit(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
 		return r.pick(r.trial, q)
 	}
-	if len(r.base) > 0 && r.base[0].Build >= floor {
+	if len(r.base.all) > 0 && r.base.all[0].Build >= floor {
 		return r.pick(r.base, q)
 	}
 	return nil
 }
 
 // fit counts the servers of a group that are not suspect.
-func (r *Router) fit(group []*server) (n int) {
-	for _, s := range group {
+func (r *Router) fit(g group) (n int) {
+	for _, s := range g.all {
 		n += int(count(s.until <= r.now))
 	}
 	return n
@@ -605,7 +566,7 @@
 	case TimedOut, ServerError:
 		r.blame(s, false)
 	}
-	if q.sentTrial && len(r.base) > 0 {
+	if q.sentTrial && len(r.base.all) > 0 {
 		return
 	}
 	r.answers++
@@ -656,11 +617,11 @@
 		return
 	}
 	if r.late > lateBad*r.answers {
-		r.limit *= limitCut
+		r.limit = limitCut * min(r.limit, limitStart*max(1, float64(r.inFlight)))
 	} else if float64(r.inFlight) > 0.7*r.limit {
 		r.limit++
 	}
-	r.limit = max(r.limit, 2, float64(len(r.list))/2)
+	r.limit = max(r.limit, 2, limitLeast*float64(len(r.list))/float64(max(1, r.s.Peers)))
 	r.answers, r.late = 0, 0
 }
 
@@ -705,7 +666,7 @@
 	}
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
 	// most hosts of its build are fit; and no build has looked at a request that found no connection.
-	lone := q.server.fails >= suspectAfter && float64(r.fit(group)) >= loneFit*float64(len(group))
+	lone := q.server.fails >= suspectAfter && float64(r.fit(group)) >= loneFit*float64(len(group.all))
 	unheard := e.Outcome == ConnectFailed || lone
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
 	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
@@ -750,23 +711,57 @@
 	return r.rel.Stage + int(count(r.rel.Phase == Released))
 }
 
-// report sends the counts to the voters, and what is in flight to all.
+// report tells the voters the counts, and all peers the attempts out as long as the requests taken pay for
+// telling it while it is fresh. Danger: in a large tier reports of all to all grow with its square, and
+// most of its routers have next to nothing to tell.
 func (r *Router) report() {
 	if !r.s.CanPost || r.s.Peers < 2 || r.now < r.reportAt {
 		return
 	}
-	r.reportAt = r.now + reportEvery
+	r.expire()
 	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
-		Total: r.total, Demand: uint16(10 * max(0, r.demand)), Usual: uint16(10 * max(0, r.usual))}
+		Total: r.total, Demand: tenths(r.demand), Usual: tenths(r.usual)}
 	for _, s := range r.list {
-		for i := range s.peerBusy {
-			s.peerBusy[i] *= busyFade // a silent peer's attempts do not count for long
-		}
 		if s.inFlight > 0 {
 			m.Busy = append(m.Busy, BusyServer{s.ID, s.inFlight})
 		}
 	}
-	r.do(Post{Peer: -1, Data: m.Encode()})
+	data := m.Encode()
+	paid := func(receivers int) time.Duration { // the period that the requests pay for
+		return time.Duration(float64(len(data)*receivers) / max(0.1, reportBytes*r.rate) * 1e9)
+	}
+	if period := paid(r.s.Peers - 1); period <= busyLife {
+		r.reportAt = r.now + max(period, reportEvery)
+		r.do(Post{Peer: -1, Data: data})
+		return
+	}
+	m.Busy = nil
+	data = m.Encode()
+	r.reportAt = r.now + min(max(paid(voters), reportEvery), reportLast)
+	for _, v := range r.voters {
+		if v != r.s.Self && (r.rel.Phase == OnTrial || r.rel.Phase == Released && r.total.Old.N > 0) {
+			r.do(Post{Peer: v, Data: data})
+		}
+	}
+}
+
+// expire forgets what peers that fell silent have out.
+func (r *Router) expire() {
+	for peer, t := range r.heard {
+		if len(t.Busy) > 0 && r.now > t.at+busyLife {
+			r.countBusy(t.Busy, -1)
+			t.Busy = nil
+			r.heard[peer] = t
+		}
+	}
+}
+
+func (r *Router) countBusy(busy []BusyServer, sign int) {
+	for _, b := range busy {
+		if s := r.servers[b.Server]; s != nil {
+			s.peerBusy = max(0, s.peerBusy+sign*b.InFlight)
+		}
+	}
 }
 
 // hear takes a peer's report; what is malformed or impossible is dropped.
@@ -782,15 +777,9 @@
 		had.Total.size() > m.Total.size()) {
 		return // an older report, come late
 	}
-	r.peers[k], r.heard[e.From] = m, m
-	for _, s := range r.list {
-		s.peerBusy[e.From] = 0
-	}
-	for _, b := range m.Busy {
-		if s := r.servers[b.Server]; s != nil {
-			s.peerBusy[e.From] = float64(b.InFlight)
-		}
-	}
+	r.countBusy(r.heard[e.From].Busy, -1)
+	r.countBusy(m.Busy, 1)
+	r.peers[k], r.heard[e.From] = m, told{m, r.now}
 }
 
 // pooled sums the counts of the present stage and build over all routers and their incarnations.
@@ -855,22 +844,17 @@
 
 // ---- Votes ----
 
-type voteState struct {
-	verdict      Verdict
-	at, out      time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
-	guardAt      time.Duration
-	tested, busy bool
-}
-
-// rank is this router's place among those that may vote on a build; the first few are its voters.
-func (r *Router) rank(b BuildID) int {
-	rank, own := 0, voterHash(b, r.s.Self)
+// votersOf names the routers that vote on a build, in the order in which they do.
+func (r *Router) votersOf(b BuildID) []int {
+	first := make([]int, 0, voters+1)
 	for i := range r.s.Peers {
-		if h := voterHash(b, i); h < own || h == own && i < r.s.Self {
-			rank++
-		}
+		at, _ := slices.BinarySearchFunc(first, voterHash(b, i), func(have int, h uint64) int {
+			return cmp.Compare(voterHash(b, have), h)
+		})
+		first = slices.Insert(first, at, i)
+		first = first[:min(voters, len(first))]
 	}
-	return rank
+	return first
 }
 
 func voterHash(b BuildID, peer int) uint64 {
@@ -901,7 +885,8 @@
 		}
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
-		if was.Build != e.Build {
+		if was.Build != e.Build || !known {
+			r.voters = r.votersOf(e.Build)
 			r.total, r.usual = Counts{}, r.demand
 			r.setMarks()
 		}
@@ -915,8 +900,8 @@
 // ballot tests once a stage, at the horizon or by time-out, and casts or renews the vote. The guard may
 // send a build back at any time until the next is offered.
 func (r *Router) ballot() {
-	rank := r.rank(r.rel.Build)
-	if !r.relKnown || rank >= voters || r.rel.Phase != OnTrial && r.rel.Phase != Released {
+	rank := slices.Index(r.voters, r.s.Self)
+	if rank < 0 || r.rel.Phase != OnTrial && r.rel.Phase != Released {
 		return
 	}
 	v := &r.vote
@@ -968,9 +953,9 @@
 // new build errs more often than the old one did, by less than the margin of the main test: healthy builds
 // hardly ever err, whatever the load, so asking often costs good builds little.
 func (r *Router) guard(c Counts) bool {
-	erred := c.New.Err + c.New.Wrong
-	return erred >= guardErrors &&
-		harm(r.rng, c.Old.N, c.Old.Err+c.Old.Wrong, c.New.N, erred, guardMargin) < level
+	erred, usual := c.New.Err+c.New.Wrong, c.Old.Err+c.Old.Wrong
+	return erred >= guardErrors && share(erred, c.New.N) > share(usual, c.Old.N)+guardMargin &&
+		harm(r.rng, c.Old.N, usual, c.New.N, erred, guardMargin) < level
 }
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
@@ -997,7 +982,8 @@
 	}
 	for _, now := range []Arm{stage.Old, stage.New} {
 		slow := uint32((1 - slowPart) * float64(before))
-		if now.N >= horizon && (float64(now.Miss) < fleetMiss*float64(now.N) || // slow, but still in time
+		if now.N >= horizon && (share(now.Miss, now.N) < fleetMiss || // slow, but still in time
+			share(now.Slow, now.N) <= share(slow, uint32(before))+fleetMargin ||
 			harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) >= level) {
 			return false
 		}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,84 @@
+package logic
+
+import (
+	"math"
+	"time"
+)
+
+// What a router keeps between events. Nothing is decided here.
+
+type class struct {
+	Class
+	took   float64     // mean time of served attempts in seconds, smoothed
+	pinned float64     // share of requests whose key is bound to the build on trial, smoothed
+	times  [64]float64 // of the latest answers before a trial, a ring
+	next   int
+	mark   float64 // slower than this is slow; 0: not known
+}
+
+type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
+
+type request struct {
+	RequestArrived
+	class             *class
+	arrived, deadline time.Duration
+	order             float64 // worth, for the queue
+	attempts          int
+	out               bool // an attempt is out
+	server            *server
+	sentAt, ranAt     time.Duration // the last send; the send of the first attempt that may have run
+	sentRel           ReleaseStatus // the release as known at the send
+	sentTrial         bool
+	to, ranOn         Server // the server as listed at the send; at the first that may have run
+	mayRan            bool
+	draw, ended       bool // drawn for the build on trial; answered or gone
+}
+
+type server struct {
+	Server
+	inFlight, fails       int           // attempts out; failures in a row
+	peerBusy              int           // attempts that peers have out there
+	pause, until, spentAt time.Duration // suspect until then; see coldRoom
+	spent                 float64       // cold budget used, in requests
+}
+
+// group is the servers of one build, by id, and those of them in the router's own zone.
+type group struct{ all, near []*server }
+
+func (g *group) add(s *server, zone string) {
+	g.all = append(g.all, s)
+	if s.Zone == zone {
+		g.near = append(g.near, s)
+	}
+}
+
+type budgetKey struct {
+	build BuildID
+	class string // empty where all classes count together
+}
+
+// budget bounds the attempts at a build on trial. What requests earn is kept up to one attempt; the rest
+// of the free number is slots that each come back one window after their use. So every window holds at
+// most free + cap x requests, wherever it begins.
+type budget struct {
+	earned float64
+	slots  []time.Duration // when each free slot was last used
+}
+
+type voteState struct {
+	verdict      Verdict
+	at, out      time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
+	guardAt      time.Duration
+	tested, busy bool
+}
+
+// told is a peer's latest report and when it came.
+type told struct {
+	Report
+	at time.Duration
+}
+
+func tenths(x float64) uint16 { return uint16(min(10*max(0, x), math.MaxUint16)) }
+
+// share is the part that some make of all.
+func share(some, all uint32) float64 { return float64(some) / float64(max(1, all)) }
