--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 // Values for what the design leaves open.
 const (
 	tickEvery     = 50 * time.Millisecond
+	stallAfter    = 100 * time.Millisecond  // a tick this late tells that the router stood still
 	launchWait    = 10 * time.Second        // a stage whose machines never get listed is tested after this
 	voteStagger   = 1200 * time.Millisecond // a voter waits this long for each one before it to say 'on'
 	backStagger   = 400 * time.Millisecond  // the same for 'back'
@@ -42,12 +43,15 @@
 	retryMax      = 8.0                     // and kept at most
 	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
 	suspectLast   = 8 * time.Second
-	suspectAfter  = 2               // failures in a row that make a server suspect
+	suspectChance = 0.01            // a run of failures less likely than this makes a server suspect
+	failsStep     = 0.02            // of that smoothed part
+	failsLeast    = 0.05            // the least part of failures that counts as usual
 	coldPart      = 0.6             // part of a cold server's fall budget that all routers together may use
 	crossLoad     = 6.0             // attempts in flight that one point of cross-zone price is worth
 	guardEvery    = time.Second     // pause between the guards' tests
 	guardErrors   = 4               // fewer errors than this say nothing
 	slowPart      = 0.75            // of the answers before a trial were faster than the mark
+	marksLeast    = 4               // answers that make a mark
 	fleetCap      = 0.4             // with less traffic a build hardly slows a fleet
 	fleetTime     = 7 * time.Second // after the release; later slowness has other causes
 	busyDemand    = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
@@ -92,9 +96,11 @@
 	reqs                          map[RequestID]*request
 	waiting                       []*request
 	inFlight                      int
-	limit, answers, late          float64 // the concurrency limit, and outcomes since it was last set
-	retries, rate, arrived, ticks float64 // repeats earned; requests a second, smoothed; since the last tick
-	demand, usual, unserved       float64 // new requests a second; before the trial; unserved since the tick
+	limit, answers, late          float64       // the concurrency limit; outcomes since it was set
+	retries, rate, arrived, ticks float64       // repeats earned; requests a second; since the last tick
+	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
+	failing                       float64       // part of the attempts that ended in an error or no answer
+	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
 
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
@@ -125,8 +131,11 @@
 // Handle takes one event and returns what is to be done; the slice is valid until the next call.
 func (r *Router) Handle(now time.Duration, e Event) []Action {
 	r.now, r.out = now, r.out[:0]
+	if r.begun && now > r.tickDue+stallAfter {
+		r.woke, r.tickDue = now, now
+	}
 	if !r.begun {
-		r.begun = true
+		r.begun, r.tickDue = true, now+tickEvery
 		r.do(SetTimer{After: tickEvery, Token: 1})
 		if r.s.AskDiscovery {
 			r.do(Watch{})
@@ -159,6 +168,7 @@
 
 // tick does what only time brings: rates, the limit, the queue, reports and votes.
 func (r *Router) tick() {
+	r.tickDue = r.now + tickEvery
 	r.do(SetTimer{After: tickEvery, Token: 1})
 	r.ticks++
 	step := max(tickEvery.Seconds()/2, 1/r.ticks) // a plain mean at first, then over about 2 s
@@ -244,10 +254,12 @@
 
 // blame notes a failure that may be the server's own. Danger: a server that fails at once looks idle and
 // draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike; it hurts
-// where a healthy server fails one request in a row with another, so the first pauses are short.
+// where a healthy server fails one request in a row with another, so the first pauses are short. Danger:
+// requests that fail at any server would pause all; so a run must be unlikely at the usual part of failures.
 func (r *Router) blame(s *server, sure bool) {
 	s.fails++
-	if sure || s.fails >= suspectAfter {
+	usual := math.Pow(max(r.failing, failsLeast), float64(s.fails))
+	if sure || usual < suspectChance {
 		s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
 		s.until = r.now + s.pause
 	}
@@ -537,8 +549,10 @@
 	q.out = false
 	s.inFlight--
 	r.inFlight--
-	r.judgeServer(s, q, e)
-	r.evidence(q, e)
+	if r.now != r.woke { // Danger: a router that stood still finds its news late, and would blame others
+		r.judgeServer(s, q, e)
+		r.evidence(q, e)
+	}
 	if e.Outcome == OK {
 		if r.s.Rollout.ForwardOnly && q.HasKey {
 			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
@@ -558,6 +572,8 @@
 
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
+	failed := e.Outcome == TimedOut || e.Outcome == ServerError
+	r.failing += failsStep * (float64(count(failed)) - r.failing)
 	switch e.Outcome {
 	case OK:
 		s.fails, s.pause, s.until = 0, 0, 0
@@ -579,6 +595,7 @@
 func (r *Router) again(q *request, o Outcome) {
 	if o == ServerError {
 		r.retries--
+		r.unserved++ // Danger: requests that fail anywhere pass for a burst, and a bad build hides behind it
 	}
 	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 || q.mayRan && q.class.Repeat == Unsafe
 	if spent || r.deadlineNear(q) {
@@ -666,7 +683,7 @@
 	}
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
 	// most hosts of its build are fit; and no build has looked at a request that found no connection.
-	lone := q.server.fails >= suspectAfter && float64(r.fit(group)) >= loneFit*float64(len(group.all))
+	lone := q.server.until > r.now && float64(r.fit(group)) >= loneFit*float64(len(group.all))
 	unheard := e.Outcome == ConnectFailed || lone
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
 	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
@@ -674,7 +691,7 @@
 		return
 	}
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
-		Slow: count(c.mark > 0 && took > c.mark)}
+		Timed: count(c.mark > 0), Slow: count(c.mark > 0 && took > c.mark)}
 	r.total.arm(q.to.Build == r.rel.Build).plus(one)
 	if q.sentRel.Phase == r.rel.Phase && q.sentRel.Stage == r.rel.Stage {
 		r.counts.arm(q.to.Build == r.rel.Build).plus(one)
@@ -699,9 +716,9 @@
 // under before it.
 func (r *Router) setMarks() {
 	for _, c := range r.classes {
-		if n := min(c.next, len(c.times)); n >= len(c.times)/4 {
+		if n := min(c.next, len(c.times)); n >= marksLeast {
 			sorted := slices.Sorted(slices.Values(c.times[:n]))
-			c.mark = sorted[int(slowPart*float64(n))]
+			c.mark, c.before = sorted[int(slowPart*float64(n))], uint32(n)
 		}
 	}
 }
@@ -711,6 +728,16 @@
 	return r.rel.Stage + int(count(r.rel.Phase == Released))
 }
 
+// own is this router's report, without the attempts out.
+func (r *Router) own() Report {
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
+		Total: r.total, Demand: hundredths(r.demand), Usual: hundredths(r.usual)}
+	for _, c := range r.classes {
+		m.Before += c.before
+	}
+	return m
+}
+
 // report tells the voters the counts, and all peers the attempts out as long as the requests taken pay for
 // telling it while it is fresh. Danger: in a large tier reports of all to all grow with its square, and
 // most of its routers have next to nothing to tell.
@@ -719,28 +746,25 @@
 		return
 	}
 	r.expire()
-	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
-		Total: r.total, Demand: tenths(r.demand), Usual: tenths(r.usual)}
+	m := r.own()
 	for _, s := range r.list {
 		if s.inFlight > 0 {
 			m.Busy = append(m.Busy, BusyServer{s.ID, s.inFlight})
 		}
 	}
-	data := m.Encode()
 	paid := func(receivers int) time.Duration { // the period that the requests pay for
-		return time.Duration(float64(len(data)*receivers) / max(0.1, reportBytes*r.rate) * 1e9)
+		return time.Duration(float64(len(m.Encode())*receivers) / max(0.1, reportBytes*r.rate) * 1e9)
 	}
 	if period := paid(r.s.Peers - 1); period <= busyLife {
 		r.reportAt = r.now + max(period, reportEvery)
-		r.do(Post{Peer: -1, Data: data})
+		r.do(Post{Peer: -1, Data: m.Encode()})
 		return
 	}
 	m.Busy = nil
-	data = m.Encode()
 	r.reportAt = r.now + min(max(paid(voters), reportEvery), reportLast)
 	for _, v := range r.voters {
 		if v != r.s.Self && (r.rel.Phase == OnTrial || r.rel.Phase == Released && r.total.Old.N > 0) {
-			r.do(Post{Peer: v, Data: data})
+			r.do(Post{Peer: v, Data: m.Encode()})
 		}
 	}
 }
@@ -756,14 +780,6 @@
 	}
 }
 
-func (r *Router) countBusy(busy []BusyServer, sign int) {
-	for _, b := range busy {
-		if s := r.servers[b.Server]; s != nil {
-			s.peerBusy = max(0, s.peerBusy+sign*b.InFlight)
-		}
-	}
-}
-
 // hear takes a peer's report; what is malformed or impossible is dropped.
 func (r *Router) hear(e PeerMessage) {
 	m, err := DecodeReport(e.Data)
@@ -887,7 +903,10 @@
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
 		if was.Build != e.Build || !known {
 			r.voters = r.votersOf(e.Build)
-			r.total, r.usual = Counts{}, r.demand
+			r.total, r.usual = Counts{}, 0
+			if known { // what was usual is not known after a restart
+				r.usual = max(r.demand, 0.01)
+			}
 			r.setMarks()
 		}
 		r.counts, r.vote, r.stageAt = Counts{}, voteState{}, r.now-e.Age
@@ -927,8 +946,8 @@
 		verdict, why = VoteOn, "no harm seen"
 		if harm(r.rng, old.N, old.Miss, fresh.N, fresh.Miss, margin) < level {
 			verdict, why = VoteBack, "served less in time"
-		} else if fresh.N >= horizon &&
-			harm(r.rng, old.N, old.Slow, fresh.N, fresh.Slow, slowMargin) < level {
+		} else if fresh.Timed >= horizon &&
+			harm(r.rng, old.Timed, old.Slow, fresh.Timed, fresh.Slow, slowMargin) < level {
 			verdict, why = VoteBack, "slower answers"
 		}
 	}
@@ -964,27 +983,22 @@
 // where much of a fleet is lost just when a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
-	demand, usual := r.demand, r.usual
+	own := r.own()
+	demand, usual, before := float64(own.Demand), float64(own.Usual), own.Before
 	for _, m := range r.heard {
-		if m.Usual > 0 && r.usual > 0 {
-			demand, usual = demand+float64(m.Demand)/10, usual+float64(m.Usual)/10
+		if before += m.Before; m.Usual > 0 { // a restarted router does not know what was usual
+			demand, usual = demand+float64(m.Demand), usual+float64(m.Usual)
 		}
 	}
 	r.vote.busy = r.vote.busy || demand >= busyDemand*usual // the stage's counts hold a burst
-	if !wide || r.vote.busy || max(stage.Old.N, stage.New.N) < horizon {
+	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
-	before := 0
-	for _, c := range r.classes {
-		if c.mark > 0 {
-			before += min(c.next, len(c.times))
-		}
-	}
 	for _, now := range []Arm{stage.Old, stage.New} {
 		slow := uint32((1 - slowPart) * float64(before))
-		if now.N >= horizon && (share(now.Miss, now.N) < fleetMiss || // slow, but still in time
-			share(now.Slow, now.N) <= share(slow, uint32(before))+fleetMargin ||
-			harm(r.rng, uint32(before), slow, now.N, now.Slow, fleetMargin) >= level) {
+		if now.Timed >= horizon && (share(now.Miss, now.N) < fleetMiss || // slow, but still in time
+			share(now.Slow, now.Timed) <= share(slow, before)+fleetMargin ||
+			harm(r.rng, before, slow, now.Timed, now.Slow, fleetMargin) >= level) {
 			return false
 		}
 	}
--- a/logic/report.go
+++ b/logic/report.go
@@ -6,8 +6,9 @@
 )
 
 // Arm counts first attempts at one build: all, those not served within the aim, those answered with an
-// error, those slower than the mark kept from before the trial, and those that a client found wrong.
-type Arm struct{ N, Miss, Err, Slow, Wrong uint32 }
+// error, those with a mark kept from before the trial to be measured by, those slower than it, and those
+// that a client found wrong.
+type Arm struct{ N, Miss, Err, Timed, Slow, Wrong uint32 }
 
 // Counts holds both arms of a trial.
 type Counts struct{ Old, New Arm }
@@ -20,8 +21,9 @@
 	Stage       int
 	Counts      Counts // of the stage
 	Total       Counts // of the build
-	Demand      uint16 // new requests, tenths a second, now and
+	Demand      uint16 // new requests, hundredths a second, now and
 	Usual       uint16 // before the trial; 0: not known
+	Before      uint32 // answers before the trial that the marks come from
 	Busy        []BusyServer
 }
 
@@ -38,7 +40,7 @@
 }
 
 const (
-	reportVersion = 1
+	reportVersion = 2
 	reportHead    = 12
 	busySize      = 5
 	maxCount      = 1 << 24 // no router counts this many attempts in a trial
@@ -48,7 +50,10 @@
 var errReport = errors.New("malformed report")
 
 func (a *Arm) plus(b Arm) {
-	a.N, a.Miss, a.Err, a.Slow, a.Wrong = a.N+b.N, a.Miss+b.Miss, a.Err+b.Err, a.Slow+b.Slow, a.Wrong+b.Wrong
+	to, from := a.fields(), b.fields()
+	for i := range to {
+		*to[i] += *from[i]
+	}
 }
 
 // count is 1 for yes.
@@ -74,9 +79,13 @@
 
 func (c Counts) size() uint32 { return c.Old.N + c.New.N }
 
+func (a *Arm) fields() [6]*uint32 {
+	return [6]*uint32{&a.N, &a.Miss, &a.Err, &a.Timed, &a.Slow, &a.Wrong}
+}
+
 // possible tells whether counts can be cumulative counts of attempts.
 func (a Arm) possible() bool {
-	return a.N <= maxCount && a.Miss <= a.N && a.Err+a.Wrong <= a.Miss && a.Slow <= a.N
+	return a.N <= maxCount && a.Miss <= a.N && a.Err+a.Wrong <= a.Miss && a.Slow <= a.Timed && a.Timed <= a.N
 }
 
 func (r *Report) arms() []*Arm {
@@ -92,9 +101,10 @@
 	b = append(b, byte(r.Stage))
 	b = binary.BigEndian.AppendUint16(b, r.Demand)
 	b = binary.BigEndian.AppendUint16(b, r.Usual)
+	b = binary.AppendUvarint(b, uint64(r.Before))
 	for _, a := range r.arms() {
-		for _, c := range []uint32{a.N, a.Miss, a.Err, a.Slow, a.Wrong} {
-			b = binary.AppendUvarint(b, uint64(c))
+		for _, c := range a.fields() {
+			b = binary.AppendUvarint(b, uint64(*c))
 		}
 	}
 	for _, s := range r.Busy {
@@ -115,8 +125,13 @@
 	r := Report{Incarnation: binary.BigEndian.Uint32(b[1:]), Build: BuildID(binary.BigEndian.Uint16(b[5:])),
 		Stage: int(b[7]), Demand: binary.BigEndian.Uint16(b[8:]), Usual: binary.BigEndian.Uint16(b[10:])}
 	b = b[reportHead:]
+	before, size := binary.Uvarint(b)
+	if size <= 0 || before > maxCount {
+		return Report{}, errReport
+	}
+	r.Before, b = uint32(before), b[size:]
 	for _, a := range r.arms() {
-		for _, dst := range []*uint32{&a.N, &a.Miss, &a.Err, &a.Slow, &a.Wrong} {
+		for _, dst := range a.fields() {
 			n, size := binary.Uvarint(b)
 			if size <= 0 || n > maxCount {
 				return Report{}, errReport
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,6 +14,7 @@
 	times  [64]float64 // of the latest answers before a trial, a ring
 	next   int
 	mark   float64 // slower than this is slow; 0: not known
+	before uint32  // answers behind the mark
 }
 
 type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
@@ -78,7 +79,16 @@
 	at time.Duration
 }
 
-func tenths(x float64) uint16 { return uint16(min(10*max(0, x), math.MaxUint16)) }
+func hundredths(x float64) uint16 { return uint16(min(100*max(0, x), math.MaxUint16)) }
 
 // share is the part that some make of all.
 func share(some, all uint32) float64 { return float64(some) / float64(max(1, all)) }
+
+// countBusy adds or takes off the attempts that a peer has out.
+func (r *Router) countBusy(busy []BusyServer, sign int) {
+	for _, b := range busy {
+		if s := r.servers[b.Server]; s != nil {
+			s.peerBusy = max(0, s.peerBusy+sign*b.InFlight)
+		}
+	}
+}
