--- a/logic/logic.go
+++ b/logic/logic.go
@@ -58,7 +58,8 @@
 	fleetMargin   = 0.1             // more slow answers than before the trial by this are harm to the fleet
 	slowMargin    = 0.2             // more slow answers than this, beyond the old build's, are harm
 	busyLife      = time.Second     // attempts out that a peer told of count so long
-	throws        = 4               // random draws of a server before a search
+	nearLiking    = 8.0             // times the cross-zone price: the chance that one choice is a near server
+	throws        = 6               // random draws of a server before a search
 	spillOver     = 2.0             // drawn requests go to the old build if new servers are so much busier
 	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
 	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
@@ -81,6 +82,7 @@
 
 	servers     map[ServerID]*server
 	list        []*server // all, by id
+	heaviest    float64   // the largest weight in it
 	base, trial group     // those of the ordinary build; those of the build on trial
 	trialID     BuildID   // 0: none
 	rel         ReleaseStatus
@@ -199,9 +201,9 @@
 		case entry.State == Gone:
 			delete(r.servers, entry.ID)
 		case have == nil:
-			r.servers[entry.ID] = &server{Server: entry}
+			r.servers[entry.ID] = &server{Server: entry, spent: r.rng.Float64()}
 		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
-			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, 0, entry
+			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, r.rng.Float64(), entry
 		default:
 			have.State, have.Weight = entry.State, entry.Weight
 			continue
@@ -218,6 +220,10 @@
 		}
 		r.list = append(r.list, s)
 	}
+	r.heaviest = 0
+	for _, s := range r.list {
+		r.heaviest = max(r.heaviest, s.Weight)
+	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	r.limit = cmp.Or(r.limit, limitStart*float64(len(r.list)))
 	r.regroup()
@@ -235,7 +241,8 @@
 
 // coldRoom tells whether a cold server may get one more request. Danger: all routers together push a
 // server that has just started over. Each router uses at most coldPart of the stated multiple of its own
-// fair rate a server, so the sum stays within the budget whatever the routers' shares are.
+// fair rate a server, so the sum stays within the budget whatever the routers' shares are. Of many routers
+// each could send its first request at once, so each waits for a part of one, by chance.
 func (r *Router) coldRoom(s *server, spend bool) bool {
 	ramp := r.ramp(s)
 	if ramp >= 1 || len(r.list) == 0 {
@@ -369,13 +376,16 @@
 
 // load is what two choices compare: attempts in flight, by size and warmth.
 func (r *Router) load(s *server) float64 {
-	l := float64(s.inFlight+s.peerBusy+1) / (max(s.Weight, 0.01) * r.ramp(s))
+	l := float64(s.inFlight+s.peerBusy) / r.capacity(s)
 	if s.Zone != r.s.Zone {
 		l += crossLoad * r.s.CrossZoneCost
 	}
 	return l
 }
 
+// capacity is what a server can do now, by its listed weight.
+func (r *Router) capacity(s *server) float64 { return max(s.Weight, 0.01) * r.ramp(s) }
+
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
 // loaded. Suspects come into it only where nothing else is left.
 func (r *Router) pick(g group, q *request) *server {
@@ -384,21 +394,26 @@
 	if suspects {
 		a = r.throw(g.all, q, true)
 	}
-	b := cmp.Or(r.throw(g.near, q, suspects), r.throw(g.all, q, suspects))
+	b := r.throw(g.all, q, suspects)
+	if r.rng.Float64() < nearLiking*r.s.CrossZoneCost {
+		b = cmp.Or(r.throw(g.near, q, suspects), b)
+	}
 	if a == nil || b != nil && r.load(b) <= r.load(a) {
 		return b
 	}
 	return a
 }
 
-// throw draws a usable server: by chance, or where that fails some times the next one after a random place.
-// So a choice costs the same in a fleet of any size.
+// throw draws a usable server by chance, in step with what each can do now, or where that fails some times the
+// next one after a random place. So a choice costs the same in a fleet of any size. Danger: routers with
+// little traffic have nothing in flight to compare by, and together would all prefer the largest and warmest.
 func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
 	usable := func(s *server) bool {
 		return r.repeatOK(q, s) && r.coldRoom(s, false) && (suspects || s != q.server && s.until <= r.now)
 	}
 	for range min(throws, len(servers)) {
-		if s := servers[r.rng.IntN(len(servers))]; usable(s) {
+		s := servers[r.rng.IntN(len(servers))]
+		if r.rng.Float64()*r.heaviest < r.capacity(s) && usable(s) {
 			return s
 		}
 	}
