--- a/logic/logic.go
+++ b/logic/logic.go
@@ -366,10 +366,7 @@
 	for _, s := range r.trial.all {
 		fresh += r.ramp(s)
 	}
-	if r.s.Rollout.Rolling {
-		places += float64(len(r.trial.all))
-	}
-	return min(trialPart*limit, fresh/places)
+	return min(trialPart*limit, fresh/(places+fresh))
 }
 
 // ---- Choice of a server ----
@@ -446,7 +443,7 @@
 	wanted := floor == r.trialID || q.draw && q.attempts == 0
 	if len(r.trial.all) > 0 && wanted && r.mayTry(r.trialID, q.class, false) {
 		s, o := r.pick(r.trial, q), r.pick(r.base, q)
-		if s != nil && o != nil && floor == 0 && r.load(s) > spillOver*r.load(o) {
+		if s != nil && o != nil && floor == 0 && r.load(s) > spillOver*(1+r.load(o)) {
 			return o // busier servers would pass for a worse build
 		}
 		if s != nil {
