--- a/logic/logic.go
+++ b/logic/logic.go
@@ -364,9 +364,14 @@
 	}
 	fresh := 0.0
 	for _, s := range r.trial.all {
-		fresh += r.ramp(s)
+		if s.until <= r.now && r.coldRoom(s, false) { // else the few warm ones would get the others' part
+			fresh += r.ramp(s)
+		}
+	}
+	if r.s.Rollout.Rolling {
+		places += float64(len(r.trial.all))
 	}
-	return min(trialPart*limit, fresh/(places+fresh))
+	return min(trialPart*limit, fresh/places)
 }
 
 // ---- Choice of a server ----
