--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,64 +72,6 @@
 	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
 )
 
-// Router is one instance of the decisions.
-type Router struct {
-	s     Settings
-	now   time.Duration
-	rng   *rand.Rand
-	out   []Action
-	begun bool
-
-	servers     map[ServerID]*server
-	list        []*server // all, by id
-	heaviest    float64   // the largest weight in it
-	base, trial group     // those of the ordinary build; those of the build on trial
-	trialID     BuildID   // 0: none
-	rel         ReleaseStatus
-	relKnown    bool
-	bad         map[BuildID]bool // builds told to go back
-
-	classes map[string]*class
-	tenants map[string]*tenant
-	budgets map[budgetKey]*budget
-	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
-	seen    map[uint64]int     // forward-only: how often a key came in this stage
-
-	reqs                          map[RequestID]*request
-	waiting                       []*request
-	inFlight                      int
-	limit, answers, late          float64       // the concurrency limit; outcomes since it was set
-	retries, rate, arrived, ticks float64       // repeats earned; requests a second; since the last tick
-	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
-	failing                       float64       // part of the attempts that ended in an error or no answer
-	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
-
-	incarnation                 uint32
-	counts, total               Counts // own, of the present stage and of the build
-	peers                       map[peerKey]Report
-	heard                       map[int]told  // the latest of each peer
-	voters                      []int         // who votes on the present build, in order
-	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
-	vote                        voteState
-}
-
-// New starts a router that knows its settings only.
-func New(s Settings, seed uint64) *Router {
-	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		servers: map[ServerID]*server{}, bad: map[BuildID]bool{}, classes: map[string]*class{},
-		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
-		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
-		retries: retryMax}
-	r.incarnation, r.heard = r.rng.Uint32(), map[int]told{}
-	for _, c := range s.Classes {
-		r.classes[c.Name] = &class{Class: c}
-	}
-	for _, t := range s.Tenants {
-		r.tenants[t.Name] = &tenant{part: t.Share}
-	}
-	return r
-}
-
 // Handle takes one event and returns what is to be done; the slice is valid until the next call.
 func (r *Router) Handle(now time.Duration, e Event) []Action {
 	r.now, r.out = now, r.out[:0]
@@ -406,9 +348,9 @@
 	return a
 }
 
-// throw draws a usable server by chance, in step with what each can do now, or where that fails some times the
-// next one after a random place. So a choice costs the same in a fleet of any size. Danger: routers with
-// little traffic have nothing in flight to compare by, and together would all prefer the largest and warmest.
+// throw draws a usable server by chance, in step with what each can do now, or where that fails some times
+// the next one after a random place. So a choice costs the same in a fleet of any size. Danger: routers with
+// little traffic see nothing in flight, and together would all prefer the largest and warmest.
 func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
 	usable := func(s *server) bool {
 		return r.repeatOK(q, s) && r.coldRoom(s, false) && (suspects || s != q.server && s.until <= r.now)
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -120,3 +120,62 @@
 		t.Errorf("limit %v not cut by late answers, was %v", g.r.limit, limit)
 	}
 }
+
+// Danger: many routers each allow a server that has just started one first request, all at once.
+func TestManyRoutersTogetherSpareAColdServer(t *testing.T) {
+	set := testSettings()
+	set.Peers = 60
+	const fleet, perRouter = 40, 5.0 // servers; requests a second at each router
+	begun, hits := time.Duration(0), []time.Duration{}
+	var rigs []*rig
+	for i := range set.Peers {
+		set.Self = i
+		g := newRig(t, set, uint64(i))
+		for id := range fleet {
+			g.feed(ServersListed{Servers: []Server{host(id + 1)}})
+		}
+		g.release(1, 2, Released, 1)
+		rigs = append(rigs, g)
+	}
+	for step := range 75 {
+		for i, g := range rigs {
+			if step == 50 {
+				begun = g.now
+				g.feed(ServersListed{Servers: []Server{host(1, started(g.now))}})
+			}
+			for _, s := range g.arrive(fmt.Sprint("r", step), "read", time.Second) {
+				if s.Server == 1 && begun > 0 {
+					hits = append(hits, g.now-begun+time.Duration(i)) // all routers keep one time
+				}
+				g.end(s, OK)
+			}
+			g.pass(time.Duration(float64(time.Second) / perRouter))
+		}
+	}
+	capacity := float64(set.Peers) * perRouter / fleet
+	early := 0
+	for _, at := range hits {
+		early += int(count(at < set.FallTime))
+	}
+	if budget := set.FallMultiple * set.ColdFrom * capacity * set.FallTime.Seconds() * 1.5; float64(early) > budget {
+		t.Errorf("%d requests in the first %v, budget %.1f", early, set.FallTime, budget)
+	}
+	if len(hits) == 0 {
+		t.Error("the cold server was never used")
+	}
+}
+
+// Danger: idle routers see nothing in flight anywhere, and all prefer the warmest or largest servers.
+func TestIdleRoutersSpreadByCapacity(t *testing.T) {
+	g := ready(t, testSettings(), host(1), host(2), host(3, func(s *Server) { s.Weight = 2 }))
+	hits := map[ServerID]float64{}
+	for i := range 4000 {
+		for _, s := range g.arrive(fmt.Sprint("r", i), "read", time.Second) {
+			hits[s.Server]++
+			g.end(s, OK)
+		}
+	}
+	if got := hits[3] / 4000; got < 0.45 || got > 0.55 {
+		t.Errorf("the server of twice the size got %.2f of the requests, want about 0.5", got)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,11 +2,70 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
 // What a router keeps between events. Nothing is decided here.
 
+// Router is one instance of the decisions.
+type Router struct {
+	s     Settings
+	now   time.Duration
+	rng   *rand.Rand
+	out   []Action
+	begun bool
+
+	servers     map[ServerID]*server
+	list        []*server // all, by id
+	heaviest    float64   // the largest weight in it
+	base, trial group     // those of the ordinary build; those of the build on trial
+	trialID     BuildID   // 0: none
+	rel         ReleaseStatus
+	relKnown    bool
+	bad         map[BuildID]bool // builds told to go back
+
+	classes map[string]*class
+	tenants map[string]*tenant
+	budgets map[budgetKey]*budget
+	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
+	seen    map[uint64]int     // forward-only: how often a key came in this stage
+
+	reqs                          map[RequestID]*request
+	waiting                       []*request
+	inFlight                      int
+	limit, answers, late          float64       // the concurrency limit; outcomes since it was set
+	retries, rate, arrived, ticks float64       // repeats earned; requests a second; since the last tick
+	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
+	failing                       float64       // part of the attempts that ended in an error or no answer
+	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
+
+	incarnation                 uint32
+	counts, total               Counts // own, of the present stage and of the build
+	peers                       map[peerKey]Report
+	heard                       map[int]told  // the latest of each peer
+	voters                      []int         // who votes on the present build, in order
+	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
+	vote                        voteState
+}
+
+// New starts a router that knows its settings only.
+func New(s Settings, seed uint64) *Router {
+	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers: map[ServerID]*server{}, bad: map[BuildID]bool{}, classes: map[string]*class{},
+		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
+		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
+		retries: retryMax}
+	r.incarnation, r.heard = r.rng.Uint32(), map[int]told{}
+	for _, c := range s.Classes {
+		r.classes[c.Name] = &class{Class: c}
+	}
+	for _, t := range s.Tenants {
+		r.tenants[t.Name] = &tenant{part: t.Share}
+	}
+	return r
+}
+
 type class struct {
 	Class
 	took   float64     // mean time of served attempts in seconds, smoothed
