--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -63,6 +63,9 @@
 		r.open("withdraw")
 		r.text(string(a.ID))
 		r.uint(uint64(a.Attempt))
+	case logic.Close:
+		r.open("close")
+		r.uint(uint64(a.Server))
 	case logic.Refuse:
 		r.open("refuse")
 		r.text(string(a.ID))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -170,6 +170,7 @@
 		{logic.Fail{ID: "r-1"}, `["respond_error","r-1"]`},
 		{logic.SetTimer{After: 500 * time.Millisecond, Token: 77}, `["timer",500,77]`},
 		{logic.Probe{Server: 9}, `["ask_load",9]`},
+		{logic.Close{Server: 9}, `["close",9]`},
 		{logic.Post{Peer: -1, Data: []byte("hi 7")}, `["post",null,"68692037"]`},
 		{logic.Post{Peer: 2}, `["post",2,""]`},
 		{logic.Vote{Build: 42, Stage: 2, Verdict: logic.VoteOn}, `["vote",42,2,1]`},
--- a/logic/api.go
+++ b/logic/api.go
@@ -88,6 +88,7 @@
 	AskWithin     time.Duration
 	Tick          time.Duration
 	DrainGrace    time.Duration
+	ConnIdle      time.Duration // idle connections are closed after this long
 	ColdFrom      float64
 	ColdTime      time.Duration
 	FallMultiple  float64
@@ -270,6 +271,8 @@
 		ID      RequestID
 		Attempt int
 	}
+	// Close shuts the idle connections to a server.
+	Close struct{ Server ServerID }
 	// Refuse is a final answer: trying again is harmless.
 	Refuse struct {
 		ID         RequestID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,6 +69,16 @@
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	stickySeen    = 2   // under forward-only a key met more often than this does not try a closed stage
+
+	idleLong     = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
+	lostStep     = 0.1                    // of the part of attempts that got no answer in time
+	lostMuch     = 0.25                   // of those on idle connections: they are dropped
+	lostFade     = 0.997                  // of what was lost on them, each tick
+	anywhereStep = 0.1                    // of the part of errors that come again at another server
+	anywhereMuch = 0.5                    // so many: errors are the requests' own
+	connectStep  = 0.05                   // of the part of attempts that found no connection
+	connectHard  = 0.1                    // so many: connecting is hard
+
 	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
 )
 
@@ -122,6 +132,7 @@
 	for _, t := range r.tenants {
 		t.rate, t.came = t.rate+step*(t.came/tickEvery.Seconds()-t.rate), 0
 	}
+	r.overdue()
 	r.adjustLimit()
 	r.drainQueue()
 	r.report()
@@ -300,7 +311,7 @@
 	if stage < r.s.Rollout.ClosedStages && c.Repeat != Safe {
 		return 0
 	}
-	places := float64(r.fit(r.base))
+	places := float64(r.fitOf(r.base))
 	if places == 0 {
 		return 1
 	}
@@ -331,16 +342,22 @@
 func (r *Router) capacity(s *server) float64 { return max(s.Weight, 0.01) * r.ramp(s) }
 
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
-// loaded. Suspects come into it only where nothing else is left.
+// loaded. Suspects come into it only where nothing else is left. Danger: where connecting takes too long, most
+// attempts would end there; then servers with an open connection come first.
 func (r *Router) pick(g group, q *request) *server {
-	a := r.throw(g.all, q, false)
-	suspects := a == nil && q.attempts == 0 // once only, else repeats storm where all refuse
-	if suspects {
-		a = r.throw(g.all, q, true)
+	how := warm
+	if r.unconnected < connectHard {
+		how = fit
+	}
+	a := r.throw(g.all, q, how)
+	for ; a == nil && how < suspect; a = r.throw(g.all, q, how) {
+		if how++; how == suspect && q.attempts > 0 {
+			return nil // once only, else repeats storm where all refuse
+		}
 	}
-	b := r.throw(g.all, q, suspects)
+	b := r.throw(g.all, q, how)
 	if r.rng.Float64() < nearLiking*r.s.CrossZoneCost {
-		b = cmp.Or(r.throw(g.near, q, suspects), b)
+		b = cmp.Or(r.throw(g.near, q, how), b)
 	}
 	if a == nil || b != nil && r.load(b) <= r.load(a) {
 		return b
@@ -351,9 +368,10 @@
 // throw draws a usable server by chance, in step with what each can do now, or where that fails some times
 // the next one after a random place. So a choice costs the same in a fleet of any size. Danger: routers with
 // little traffic see nothing in flight, and together would all prefer the largest and warmest.
-func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
+func (r *Router) throw(servers []*server, q *request, how usability) *server {
 	usable := func(s *server) bool {
-		return r.repeatOK(q, s) && r.coldRoom(s, false) && (suspects || s != q.server && s.until <= r.now)
+		return r.repeatOK(q, s) && r.coldRoom(s, false) && (how == suspect || s != q.server && s.until <= r.now) &&
+			(how != warm || s.usedAt > 0 && r.now < s.usedAt+r.s.ConnIdle)
 	}
 	for range min(throws, len(servers)) {
 		s := servers[r.rng.IntN(len(servers))]
@@ -399,7 +417,7 @@
 	}
 	// Danger: a stale list names servers that have long gone. Where none of the ordinary build is fit, the
 	// build on trial serves within its cap.
-	if r.fit(r.base) == 0 && r.fit(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
+	if r.fitOf(r.base) == 0 && r.fitOf(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
 		return r.pick(r.trial, q)
 	}
 	if len(r.base.all) > 0 && r.base.all[0].Build >= floor {
@@ -408,8 +426,8 @@
 	return nil
 }
 
-// fit counts the servers of a group that are not suspect.
-func (r *Router) fit(g group) (n int) {
+// fitOf counts the servers of a group that are not suspect.
+func (r *Router) fitOf(g group) (n int) {
 	for _, s := range g.all {
 		n += int(count(s.until <= r.now))
 	}
@@ -491,7 +509,13 @@
 	}
 	r.coldRoom(s, true)
 	q.sentRel, q.sentTrial = r.rel, r.onTrial(s.Build)
-	q.server, q.to, q.sentAt, q.out = s, s.Server, r.now, true
+	q.idle = s.inFlight == 0 && s.usedAt > 0 && r.now > s.usedAt+idleLong
+	if q.idle && r.reaped() {
+		r.do(Close{Server: s.ID})
+		q.idle = false
+	}
+	s.usedAt = r.now
+	q.server, q.to, q.sentAt, q.out, q.overdue = s, s.Server, r.now, true, false
 	q.attempts++
 	s.inFlight++
 	r.inFlight++
@@ -508,9 +532,21 @@
 	q.out = false
 	s.inFlight--
 	r.inFlight--
+	s.usedAt = r.now
+	if e.Outcome == ConnectFailed {
+		s.usedAt = 0
+	}
+	r.unconnected += connectStep * (float64(count(e.Outcome == ConnectFailed)) - r.unconnected)
+	if !q.overdue {
+		r.missing(q, count(e.Outcome == TimedOut || e.Outcome == Reset))
+	}
 	if r.now != r.woke { // Danger: a router that stood still finds its news late, and would blame others
 		r.judgeServer(s, q, e)
-		r.evidence(q, e)
+		if e.Attempt > 0 {
+			r.second(q, &e.Outcome)
+		} else {
+			r.evidence(q, e)
+		}
 	}
 	if e.Outcome == OK {
 		if r.s.Rollout.ForwardOnly && q.HasKey {
@@ -529,6 +565,31 @@
 	r.drainQueue()
 }
 
+// missing notes whether an attempt got its answer, apart for those sent on connections long idle.
+func (r *Router) missing(q *request, lost uint32) {
+	r.lost[count(q.idle)] += lostStep * (float64(lost) - r.lost[count(q.idle)])
+}
+
+// reaped tells that idle connections are dropped unseen: much more goes missing on them than on others. Then
+// they are closed before a send. Danger: what is sent on one gets no answer, and may not be sent again. It
+// also makes silent servers show at the connect; it costs handshakes, until what was lost has faded.
+func (r *Router) reaped() bool { return r.lost[1] > lostMuch && r.lost[1] > 2*r.lost[0] }
+
+// overdue counts attempts past their aim as missing at once, since a silent loss shows only at the deadline.
+func (r *Router) overdue() {
+	n := [2]int{}
+	for _, q := range r.reqs {
+		if q.out && !q.overdue && r.now > q.sentAt+q.class.Aim {
+			q.overdue = true
+			n[count(q.idle)]++
+		}
+	}
+	for i := range r.lost {
+		r.lost[i] = 1 - (1-r.lost[i])*math.Pow(1-lostStep, float64(n[i]))
+	}
+	r.lost[1] *= lostFade
+}
+
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	failed := e.Outcome == TimedOut || e.Outcome == ServerError
@@ -554,9 +615,9 @@
 func (r *Router) again(q *request, o Outcome) {
 	if o == ServerError {
 		r.retries--
-		r.unserved++ // Danger: requests that fail anywhere pass for a burst, and a bad build hides behind it
 	}
-	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 || q.mayRan && q.class.Repeat == Unsafe
+	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch) ||
+		q.mayRan && q.class.Repeat == Unsafe
 	if spent || r.deadlineNear(q) {
 		r.finish(q)
 	} else if !r.try(q) {
@@ -579,6 +640,7 @@
 // forget drops a request that has ended; one with an attempt still out is kept for its outcome.
 func (r *Router) forget(q *request) {
 	q.ended = true
+	r.second(q, nil)
 	r.unserved += float64(count(!r.s.MarksRetry)) // its client may well come again
 	if !q.out {
 		delete(r.reqs, q.ID)
@@ -642,19 +704,52 @@
 	}
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
 	// most hosts of its build are fit; and no build has looked at a request that found no connection.
-	lone := q.server.until > r.now && float64(r.fit(group)) >= loneFit*float64(len(group.all))
+	lone := q.server.until > r.now && float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
 	unheard := e.Outcome == ConnectFailed || lone
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
-	if e.Attempt != 0 || e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
+	if e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
 		q.sentRel.Build != r.rel.Build {
 		return
 	}
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
 		Timed: count(c.mark > 0), Slow: count(c.mark > 0 && took > c.mark)}
-	r.total.arm(q.to.Build == r.rel.Build).plus(one)
-	if q.sentRel.Phase == r.rel.Phase && q.sentRel.Stage == r.rel.Stage {
-		r.counts.arm(q.to.Build == r.rel.Build).plus(one)
+	q.first = first{one, q.to.Build, q.sentRel}
+	if one.Err == 0 {
+		r.tally(q)
+	}
+}
+
+// tally counts the first attempt of a request.
+func (r *Router) tally(q *request) {
+	f := q.first
+	q.first = first{}
+	if f.N == 0 || f.rel.Build != r.rel.Build {
+		return
+	}
+	r.total.arm(f.build == r.rel.Build).plus(f.Arm)
+	if f.rel.Phase == r.rel.Phase && f.rel.Stage == r.rel.Stage {
+		r.counts.arm(f.build == r.rel.Build).plus(f.Arm)
+	}
+}
+
+// second judges an error by how the request fared at another server: where that failed too, the request
+// itself is at fault. Danger: requests that fail anywhere pass for a bad build's errors once their part grows,
+// and for a burst. Where most errors are such, one that was not tried again (2nd nil) is no error, but a miss.
+// It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
+func (r *Router) second(q *request, o *Outcome) {
+	if q.first.Err == 0 {
+		return
+	}
+	if o == nil {
+		q.first.Err = count(r.anywhere < anywhereMuch)
+	} else if *o == OK || *o == ServerError {
+		r.anywhere += anywhereStep * (float64(count(*o != OK)) - r.anywhere)
+		if *o != OK {
+			q.first = first{}
+			r.unserved++
+		}
 	}
+	r.tally(q)
 }
 
 // disputed counts a flagged answer, counted as served before, as failed.
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,9 @@
 	retries, rate, arrived, ticks float64       // repeats earned; requests a second; since the last tick
 	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
 	failing                       float64       // part of the attempts that ended in an error or no answer
+	anywhere                      float64       // part of errors that came again at another server
+	unconnected                   float64       // part of attempts that found no connection
+	lost                          [2]float64    // part of attempts that got no answer: others, those on idle connections
 	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
 
 	incarnation                 uint32
@@ -92,6 +95,15 @@
 	to, ranOn         Server // the server as listed at the send; at the first that may have run
 	mayRan            bool
 	draw, ended       bool // drawn for the build on trial; answered or gone
+	idle, overdue     bool // sent on a connection long idle; past its aim without an answer
+	first             first
+}
+
+// first is what the first attempt tells of its build, kept back while a second one may tell more.
+type first struct {
+	Arm
+	build BuildID
+	rel   ReleaseStatus
 }
 
 type server struct {
@@ -99,6 +111,7 @@
 	inFlight, fails       int           // attempts out; failures in a row
 	peerBusy              int           // attempts that peers have out there
 	pause, until, spentAt time.Duration // suspect until then; see coldRoom
+	usedAt                time.Duration // when its connections were last used; 0: never
 	spent                 float64       // cold budget used, in requests
 }
 
@@ -151,3 +164,12 @@
 		}
 	}
 }
+
+// usability tells which servers may be thrown for.
+type usability int
+
+const (
+	warm    usability = iota // fit ones with an open connection
+	fit                      // those not suspect
+	suspect                  // all
+)
