--- a/logic/logic.go
+++ b/logic/logic.go
@@ -321,7 +321,9 @@
 			fresh += r.ramp(s)
 		}
 	}
-	if r.s.Rollout.Rolling {
+	if r.alone { // busier servers would pass for a worse build, and without peers' news no spill evens them out
+		places += fresh
+	} else if r.s.Rollout.Rolling {
 		places += float64(len(r.trial.all))
 	}
 	return min(trialPart*limit, fresh/places)
@@ -809,7 +811,8 @@
 	paid := func(receivers int) time.Duration { // the period that the requests pay for
 		return time.Duration(float64(len(m.Encode())*receivers) / max(0.1, reportBytes*r.rate) * 1e9)
 	}
-	if period := paid(r.s.Peers - 1); period <= busyLife {
+	period := paid(r.s.Peers - 1)
+	if r.alone = period > busyLife; !r.alone {
 		r.reportAt = r.now + max(period, reportEvery)
 		r.do(Post{Peer: -1, Data: m.Encode()})
 		return
--- a/logic/state.go
+++ b/logic/state.go
@@ -43,6 +43,7 @@
 	lost                          [2]float64    // part of attempts that got no answer: others, those on idle connections
 	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
 
+	alone                       bool // too many peers, or too little traffic, to tell all what is in flight
 	incarnation                 uint32
 	counts, total               Counts // own, of the present stage and of the build
 	peers                       map[peerKey]Report
