--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,8 @@
 	suspectChance = 0.01            // a run of failures less likely than this makes a server suspect
 	failsStep     = 0.02            // of that smoothed part
 	failsLeast    = 0.05            // the least part of failures that counts as usual
+	carriedOver   = 10.0            // seconds over which the rate of served requests is smoothed
+	leastCarried  = 0.25            // of the rate of requests: what counts as served in any case
 	coldPart      = 0.6             // part of a cold server's fall budget that all routers together may use
 	crossLoad     = 6.0             // attempts in flight that one point of cross-zone price is worth
 	guardEvery    = time.Second     // pause between the guards' tests
@@ -128,7 +130,8 @@
 	step := max(tickEvery.Seconds()/2, 1/r.ticks) // a plain mean at first, then over about 2 s
 	r.rate += step * (r.arrived/tickEvery.Seconds() - r.rate)
 	r.demand += step * ((r.arrived-r.unserved)/tickEvery.Seconds() - r.demand)
-	r.arrived, r.unserved = 0, 0
+	r.carried += max(tickEvery.Seconds()/carriedOver, 1/r.ticks) * (r.served/tickEvery.Seconds() - r.carried)
+	r.arrived, r.unserved, r.served = 0, 0, 0
 	for _, t := range r.tenants {
 		t.rate, t.came = t.rate+step*(t.came/tickEvery.Seconds()-t.rate), 0
 	}
@@ -173,9 +176,10 @@
 		}
 		r.list = append(r.list, s)
 	}
-	r.heaviest = 0
+	r.heaviest, r.ready = 0, 0
 	for _, s := range r.list {
 		r.heaviest = max(r.heaviest, s.Weight)
+		r.ready += int(count(s.State == Ready))
 	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	r.limit = cmp.Or(r.limit, limitStart*float64(len(r.list)))
@@ -193,15 +197,19 @@
 }
 
 // coldRoom tells whether a cold server may get one more request. Danger: all routers together push a
-// server that has just started over. Each router uses at most coldPart of the stated multiple of its own
-// fair rate a server, so the sum stays within the budget whatever the routers' shares are. Of many routers
-// each could send its first request at once, so each waits for a part of one, by chance.
+// server that has just started over. Each router uses at most coldPart of the stated multiple of what the
+// servers serve it on average, so the sum stays within the budget whatever the routers' shares are. Of many
+// routers each could send its first request at once, so each waits for a part of one, by chance.
 func (r *Router) coldRoom(s *server, spend bool) bool {
 	ramp := r.ramp(s)
 	if ramp >= 1 || len(r.list) == 0 {
 		return true
 	}
-	fair := r.rate / float64(max(1, len(r.base.all), len(r.trial.all)))
+	places := max(1, len(r.base.all), len(r.trial.all))
+	if r.s.Rollout.Rolling {
+		places = max(places, r.ready)
+	}
+	fair := max(r.carried, leastCarried*r.rate) / float64(places)
 	rate := coldPart * r.s.FallMultiple * ramp * fair
 	depth := max(1, rate*r.s.FallTime.Seconds()/2)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
@@ -551,6 +559,7 @@
 		}
 	}
 	if e.Outcome == OK {
+		r.served++
 		if r.s.Rollout.ForwardOnly && q.HasKey {
 			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
 		}
@@ -618,7 +627,7 @@
 	if o == ServerError {
 		r.retries--
 	}
-	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch) ||
+	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch && !q.sentTrial) ||
 		q.mayRan && q.class.Repeat == Unsafe
 	if spent || r.deadlineNear(q) {
 		r.finish(q)
@@ -735,21 +744,21 @@
 }
 
 // second judges an error by how the request fared at another server: where that failed too, the request
-// itself is at fault. Danger: requests that fail anywhere pass for a bad build's errors once their part grows,
-// and for a burst. Where most errors are such, one that was not tried again (2nd nil) is no error, but a miss.
-// It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
+// itself is at fault and does not count. Danger: requests that fail anywhere pass for a bad build's errors once
+// their part grows, and for a burst. Where most errors are such, neither does one that had no second try (o
+// nil). It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
 func (r *Router) second(q *request, o *Outcome) {
 	if q.first.Err == 0 {
 		return
 	}
-	if o == nil {
-		q.first.Err = count(r.anywhere < anywhereMuch)
-	} else if *o == OK || *o == ServerError {
-		r.anywhere += anywhereStep * (float64(count(*o != OK)) - r.anywhere)
-		if *o != OK {
-			q.first = first{}
-			r.unserved++
-		}
+	own := r.anywhere > anywhereMuch
+	if o != nil && (*o == OK || *o == ServerError) {
+		own = *o != OK
+		r.anywhere += anywhereStep * (float64(count(own)) - r.anywhere)
+	}
+	if own {
+		q.first = first{}
+		r.unserved++
 	}
 	r.tally(q)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -19,6 +19,7 @@
 	servers     map[ServerID]*server
 	list        []*server // all, by id
 	heaviest    float64   // the largest weight in it
+	ready       int       // those in it that take new work
 	base, trial group     // those of the ordinary build; those of the build on trial
 	trialID     BuildID   // 0: none
 	rel         ReleaseStatus
@@ -39,6 +40,7 @@
 	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
 	failing                       float64       // part of the attempts that ended in an error or no answer
 	anywhere                      float64       // part of errors that came again at another server
+	served, carried               float64       // requests served since the last tick; a second, over a longer time
 	unconnected                   float64       // part of attempts that found no connection
 	lost                          [2]float64    // part of attempts that got no answer: others, those on idle connections
 	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
