--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,6 @@
 	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
 	suspectLast   = 8 * time.Second
 	suspectChance = 0.01            // a run of failures less likely than this makes a server suspect
-	failsStep     = 0.02            // of that smoothed part
 	failsLeast    = 0.05            // the least part of failures that counts as usual
 	carriedOver   = 10.0            // seconds over which the rate of served requests is smoothed
 	leastCarried  = 0.25            // of the rate of requests: what counts as served in any case
@@ -62,26 +61,22 @@
 	busyLife      = time.Second     // attempts out that a peer told of count so long
 	nearLiking    = 8.0             // times the cross-zone price: the chance that one choice is a near server
 	throws        = 6               // random draws of a server before a search
-	spillOver     = 2.0             // drawn requests go to the old build if new servers are so much busier
+	spillOver     = 1.3             // drawn requests go to the old build if new servers are so much busier
 	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
 	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
 	fleetMiss     = 0.05            // slow answers are no harm while no more than this part misses the aim
 	limitStart    = 3.0             // concurrency limit at start, attempts a server
 	limitLeast    = 1.5             // and at least, attempts a server that all routers together may have out
 	limitCut      = 0.9
-	lateBad       = 0.2 // part of answers over lateness that cuts the limit
-	stickySeen    = 2   // under forward-only a key met more often than this does not try a closed stage
-
-	idleLong     = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
-	lostStep     = 0.1                    // of the part of attempts that got no answer in time
-	lostMuch     = 0.25                   // of those on idle connections: they are dropped
-	lostFade     = 0.997                  // of what was lost on them, each tick
-	anywhereStep = 0.1                    // of the part of errors that come again at another server
-	anywhereMuch = 0.5                    // so many: errors are the requests' own
-	connectStep  = 0.05                   // of the part of attempts that found no connection
-	connectHard  = 0.1                    // so many: connecting is hard
-
-	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
+	lateBad       = 0.2                    // part of answers over lateness that cuts the limit
+	stickySeen    = 2                      // under forward-only keys met more often do not try a closed stage
+	idleLong      = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
+	symptomStep   = 0.08                   // of the parts of attempts that show a symptom, each attempt
+	lostMuch      = 0.2                    // of those on idle connections got no answer: they are dropped
+	lostFade      = 0.997                  // of what was lost on them, each tick
+	anywhereMuch  = 0.5                    // so many: errors are the requests' own
+	connectHard   = 0.1                    // so many: connecting is hard
+	overShareEdge = 1.3                    // a tenant is over its share beyond this multiple of its part
 )
 
 // Handle takes one event and returns what is to be done; the slice is valid until the next call.
@@ -128,12 +123,13 @@
 	r.do(SetTimer{After: tickEvery, Token: 1})
 	r.ticks++
 	step := max(tickEvery.Seconds()/2, 1/r.ticks) // a plain mean at first, then over about 2 s
-	r.rate += step * (r.arrived/tickEvery.Seconds() - r.rate)
-	r.demand += step * ((r.arrived-r.unserved)/tickEvery.Seconds() - r.demand)
-	r.carried += max(tickEvery.Seconds()/carriedOver, 1/r.ticks) * (r.served/tickEvery.Seconds() - r.carried)
+	blend(&r.rate, step, r.arrived/tickEvery.Seconds())
+	blend(&r.demand, step, (r.arrived-r.unserved)/tickEvery.Seconds())
+	blend(&r.carried, max(tickEvery.Seconds()/carriedOver, 1/r.ticks), r.served/tickEvery.Seconds())
 	r.arrived, r.unserved, r.served = 0, 0, 0
 	for _, t := range r.tenants {
-		t.rate, t.came = t.rate+step*(t.came/tickEvery.Seconds()-t.rate), 0
+		blend(&t.rate, step, t.came/tickEvery.Seconds())
+		t.came = 0
 	}
 	r.overdue()
 	r.adjustLimit()
@@ -168,17 +164,13 @@
 			r.listedAt = r.now
 		}
 	}
-	r.list = r.list[:0]
+	r.list, r.heaviest, r.ready = r.list[:0], 0, 0
 	for id, s := range r.servers {
 		if e.Full && !named[id] {
 			delete(r.servers, id)
 			continue
 		}
-		r.list = append(r.list, s)
-	}
-	r.heaviest, r.ready = 0, 0
-	for _, s := range r.list {
-		r.heaviest = max(r.heaviest, s.Weight)
+		r.list, r.heaviest = append(r.list, s), max(r.heaviest, s.Weight)
 		r.ready += int(count(s.State == Ready))
 	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -198,8 +190,8 @@
 
 // coldRoom tells whether a cold server may get one more request. Danger: all routers together push a
 // server that has just started over. Each router uses at most coldPart of the stated multiple of what the
-// servers serve it on average, so the sum stays within the budget whatever the routers' shares are. Of many
-// routers each could send its first request at once, so each waits for a part of one, by chance.
+// servers serve it on average, so the sum stays within the budget whatever the routers' shares are. Many
+// routers could each send a first request at once; so each waits for a part of one, by chance.
 func (r *Router) coldRoom(s *server, spend bool) bool {
 	ramp := r.ramp(s)
 	if ramp >= 1 || len(r.list) == 0 {
@@ -221,9 +213,8 @@
 }
 
 // blame notes a failure that may be the server's own. Danger: a server that fails at once looks idle and
-// draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike; it hurts
-// where a healthy server fails one request in a row with another, so the first pauses are short. Danger:
-// requests that fail at any server would pause all; so a run must be unlikely at the usual part of failures.
+// draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike. Danger:
+// requests that fail anywhere would pause all, so a run must be unlikely at the usual part of failures.
 func (r *Router) blame(s *server, sure bool) {
 	s.fails++
 	usual := math.Pow(max(r.failing, failsLeast), float64(s.fails))
@@ -273,15 +264,12 @@
 		}
 		return true
 	}
-	for i, used := range b.slots {
-		if r.now-used > r.s.Rollout.Window+r.s.Tick {
-			if take {
-				b.slots[i] = r.now
-			}
-			return true
-		}
+	old := r.now - r.s.Rollout.Window - r.s.Tick
+	i := slices.IndexFunc(b.slots, func(used time.Duration) bool { return used < old })
+	if i >= 0 && take {
+		b.slots[i] = r.now
 	}
-	return false
+	return i >= 0
 }
 
 // regroup sorts the servers into those of the base build and those of the build on trial.
@@ -329,7 +317,7 @@
 			fresh += r.ramp(s)
 		}
 	}
-	if r.alone { // busier servers would pass for a worse build, and without peers' news no spill evens them out
+	if r.alone { // busier servers would pass for a worse build, and no spill evens them out without news
 		places += fresh
 	} else if r.s.Rollout.Rolling {
 		places += float64(len(r.trial.all))
@@ -352,8 +340,8 @@
 func (r *Router) capacity(s *server) float64 { return max(s.Weight, 0.01) * r.ramp(s) }
 
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
-// loaded. Suspects come into it only where nothing else is left. Danger: where connecting takes too long, most
-// attempts would end there; then servers with an open connection come first.
+// loaded; suspects only where nothing else is left. Danger: where connecting takes too long, most attempts
+// would end there; then servers with an open connection come first.
 func (r *Router) pick(g group, q *request) *server {
 	how := warm
 	if r.unconnected < connectHard {
@@ -380,8 +368,9 @@
 // little traffic see nothing in flight, and together would all prefer the largest and warmest.
 func (r *Router) throw(servers []*server, q *request, how usability) *server {
 	usable := func(s *server) bool {
-		return r.repeatOK(q, s) && r.coldRoom(s, false) && (how == suspect || s != q.server && s.until <= r.now) &&
-			(how != warm || s.usedAt > 0 && r.now < s.usedAt+r.s.ConnIdle)
+		well := s != q.server && s.until <= r.now
+		open := s.usedAt > 0 && r.now < s.usedAt+r.s.ConnIdle
+		return (well || how == suspect) && (open || how != warm) && r.repeatOK(q, s) && r.coldRoom(s, false)
 	}
 	for range min(throws, len(servers)) {
 		s := servers[r.rng.IntN(len(servers))]
@@ -389,12 +378,10 @@
 			return s
 		}
 	}
-	if len(servers) > 0 {
-		start := r.rng.IntN(len(servers))
-		for i := range servers {
-			if s := servers[(start+i)%len(servers)]; usable(s) {
-				return s
-			}
+	from := r.rng.IntN(max(1, len(servers)))
+	for i := range servers {
+		if s := servers[(from+i)%len(servers)]; usable(s) {
+			return s
 		}
 	}
 	return nil
@@ -436,14 +423,6 @@
 	return nil
 }
 
-// fitOf counts the servers of a group that are not suspect.
-func (r *Router) fitOf(g group) (n int) {
-	for _, s := range g.all {
-		n += int(count(s.until <= r.now))
-	}
-	return n
-}
-
 // pinnedTo is the lowest build that may serve the request's key (forward-only).
 func (r *Router) pinnedTo(q *request) BuildID {
 	if !r.s.Rollout.ForwardOnly || !q.HasKey {
@@ -481,8 +460,7 @@
 }
 
 // draw decides by chance whether a first request tries the build on trial. Exception under forward-only:
-// keys that are already bound count first, and popular keys stay out of closed stages, since their
-// requests with an effect could then go nowhere.
+// bound keys count first, and popular ones stay out of closed stages: their writes could then go nowhere.
 func (r *Router) draw(q *request) {
 	if r.trialID == 0 {
 		return
@@ -491,9 +469,7 @@
 	if r.s.Rollout.ForwardOnly && q.HasKey {
 		r.seen[q.Key]++
 		pinned := r.sticky[q.Key] == r.trialID
-		q.class.pinned *= 0.98
-		if pinned {
-			q.class.pinned += 0.02
+		if blend(&q.class.pinned, 0.02, float64(count(pinned))); pinned {
 			return
 		}
 		_, stage := r.trialCap(r.trialID)
@@ -514,11 +490,10 @@
 	if s == nil {
 		return false
 	}
-	if r.onTrial(s.Build) {
+	if q.sentRel, q.sentTrial = r.rel, r.onTrial(s.Build); q.sentTrial {
 		r.mayTry(s.Build, q.class, true)
 	}
 	r.coldRoom(s, true)
-	q.sentRel, q.sentTrial = r.rel, r.onTrial(s.Build)
 	q.idle = s.inFlight == 0 && s.usedAt > 0 && r.now > s.usedAt+idleLong
 	if q.idle && r.reaped() {
 		r.do(Close{Server: s.ID})
@@ -546,9 +521,10 @@
 	if e.Outcome == ConnectFailed {
 		s.usedAt = 0
 	}
-	r.unconnected += connectStep * (float64(count(e.Outcome == ConnectFailed)) - r.unconnected)
+	blend(&r.unconnected, symptomStep, float64(count(e.Outcome == ConnectFailed)))
 	if !q.overdue {
-		r.missing(q, count(e.Outcome == TimedOut || e.Outcome == Reset))
+		lost := e.Outcome == TimedOut || e.Outcome == Reset
+		blend(&r.lost[count(q.idle)], symptomStep, float64(count(lost)))
 	}
 	if r.now != r.woke { // Danger: a router that stood still finds its news late, and would blame others
 		r.judgeServer(s, q, e)
@@ -563,7 +539,7 @@
 		if r.s.Rollout.ForwardOnly && q.HasKey {
 			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
 		}
-		q.class.took += 0.05 * (e.Took.Seconds() - q.class.took)
+		blend(&q.class.took, 0.05, e.Took.Seconds())
 	}
 	if e.Outcome.MayHaveRun() && !q.mayRan {
 		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, q.to
@@ -576,14 +552,9 @@
 	r.drainQueue()
 }
 
-// missing notes whether an attempt got its answer, apart for those sent on connections long idle.
-func (r *Router) missing(q *request, lost uint32) {
-	r.lost[count(q.idle)] += lostStep * (float64(lost) - r.lost[count(q.idle)])
-}
-
 // reaped tells that idle connections are dropped unseen: much more goes missing on them than on others. Then
-// they are closed before a send. Danger: what is sent on one gets no answer, and may not be sent again. It
-// also makes silent servers show at the connect; it costs handshakes, until what was lost has faded.
+// they are closed before a send. Danger: what is sent on one gets no answer, and may not be sent again. So
+// silent servers, too, show at the connect; it costs handshakes until the loss has faded.
 func (r *Router) reaped() bool { return r.lost[1] > lostMuch && r.lost[1] > 2*r.lost[0] }
 
 // overdue counts attempts past their aim as missing at once, since a silent loss shows only at the deadline.
@@ -596,7 +567,7 @@
 		}
 	}
 	for i := range r.lost {
-		r.lost[i] = 1 - (1-r.lost[i])*math.Pow(1-lostStep, float64(n[i]))
+		blend(&r.lost[i], 1-math.Pow(1-symptomStep, float64(n[i])), 1)
 	}
 	r.lost[1] *= lostFade
 }
@@ -604,7 +575,7 @@
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	failed := e.Outcome == TimedOut || e.Outcome == ServerError
-	r.failing += failsStep * (float64(count(failed)) - r.failing)
+	blend(&r.failing, symptomStep/4, float64(count(failed)))
 	switch e.Outcome {
 	case OK:
 		s.fails, s.pause, s.until = 0, 0, 0
@@ -624,11 +595,9 @@
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
 func (r *Router) again(q *request, o Outcome) {
-	if o == ServerError {
-		r.retries--
-	}
-	spent := q.attempts >= r.s.MaxAttempts || r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch && !q.sentTrial) ||
-		q.mayRan && q.class.Repeat == Unsafe
+	r.retries -= float64(count(o == ServerError))
+	poor := r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch && !q.sentTrial)
+	spent := poor || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe
 	if spent || r.deadlineNear(q) {
 		r.finish(q)
 	} else if !r.try(q) {
@@ -699,9 +668,8 @@
 
 // ---- Evidence ----
 
-// evidence counts a first attempt of a class allowed at the present stage, in both arms alike, so that
-// the mix of classes cannot pass for harm. Servers that may be cold do not count. The counts go on after
-// the release, for the guards.
+// evidence counts a first attempt of a class allowed at the present stage, in both arms alike, so that the
+// mix of classes is no harm. Servers that may be cold do not count. Counts go on after the release.
 func (r *Router) evidence(q *request, e AttemptDone) {
 	c, took := q.class, e.Took.Seconds()
 	if q.sentRel.Phase != OnTrial && e.Outcome == OK {
@@ -730,23 +698,10 @@
 	}
 }
 
-// tally counts the first attempt of a request.
-func (r *Router) tally(q *request) {
-	f := q.first
-	q.first = first{}
-	if f.N == 0 || f.rel.Build != r.rel.Build {
-		return
-	}
-	r.total.arm(f.build == r.rel.Build).plus(f.Arm)
-	if f.rel.Phase == r.rel.Phase && f.rel.Stage == r.rel.Stage {
-		r.counts.arm(f.build == r.rel.Build).plus(f.Arm)
-	}
-}
-
-// second judges an error by how the request fared at another server: where that failed too, the request
-// itself is at fault and does not count. Danger: requests that fail anywhere pass for a bad build's errors once
-// their part grows, and for a burst. Where most errors are such, neither does one that had no second try (o
-// nil). It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
+// second judges an error by how the request fared at another server: where it failed there too, the request
+// is at fault and does not count. Danger: requests that fail anywhere pass for a burst, and for a bad build.
+// Where most errors are such, one without a second try (o nil) does not count either. It hurts where a build
+// fails nearly all of a class after its release: fewer of its errors count.
 func (r *Router) second(q *request, o *Outcome) {
 	if q.first.Err == 0 {
 		return
@@ -754,7 +709,7 @@
 	own := r.anywhere > anywhereMuch
 	if o != nil && (*o == OK || *o == ServerError) {
 		own = *o != OK
-		r.anywhere += anywhereStep * (float64(count(own)) - r.anywhere)
+		blend(&r.anywhere, symptomStep, float64(count(own)))
 	}
 	if own {
 		q.first = first{}
@@ -793,19 +748,8 @@
 	return r.rel.Stage + int(count(r.rel.Phase == Released))
 }
 
-// own is this router's report, without the attempts out.
-func (r *Router) own() Report {
-	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
-		Total: r.total, Demand: hundredths(r.demand), Usual: hundredths(r.usual)}
-	for _, c := range r.classes {
-		m.Before += c.before
-	}
-	return m
-}
-
-// report tells the voters the counts, and all peers the attempts out as long as the requests taken pay for
-// telling it while it is fresh. Danger: in a large tier reports of all to all grow with its square, and
-// most of its routers have next to nothing to tell.
+// report tells the voters the counts, and all peers the attempts out while the requests taken pay for fresh
+// news. Danger: reports of all to all grow with the square of the tier, and most have little to tell.
 func (r *Router) report() {
 	if !r.s.CanPost || r.s.Peers < 2 || r.now < r.reportAt {
 		return
@@ -864,20 +808,6 @@
 	r.peers[k], r.heard[e.From] = m, told{m, r.now}
 }
 
-// pooled sums the counts of the present stage and build over all routers and their incarnations.
-func (r *Router) pooled() (stage, total Counts) {
-	stage, total = r.counts, r.total
-	for _, m := range r.peers {
-		if m.Build == r.rel.Build {
-			total.plus(m.Total)
-			if m.Stage == r.step() {
-				stage.plus(m.Counts)
-			}
-		}
-	}
-	return stage, total
-}
-
 // ---- The test ----
 
 // harm gives the p-value of "the new build has not a larger part of bad outcomes than the old one, by more
@@ -1033,10 +963,9 @@
 	r.do(Vote{Build: r.rel.Build, Stage: r.rel.Stage, Verdict: v.verdict})
 }
 
-// guard is the exception for builds that turn bad after their test: late, under load, or for a class that
-// was closed, or by few wrong answers, of which only a part is flagged. It asks the same walk whether the
-// new build errs more often than the old one did, by less than the margin of the main test: healthy builds
-// hardly ever err, whatever the load, so asking often costs good builds little.
+// guard is the exception for builds that turn bad after their test: late, under load, for a class that was
+// closed, or by few wrong answers, of which only a part is flagged. The same walk compares errors, at less
+// than the main test's margin: healthy builds hardly ever err, so asking often costs good ones little.
 func (r *Router) guard(c Counts) bool {
 	erred, usual := c.New.Err+c.New.Wrong, c.Old.Err+c.Old.Wrong
 	return erred >= guardErrors && share(erred, c.New.N) > share(usual, c.Old.N)+guardMargin &&
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -179,3 +180,122 @@
 		t.Errorf("the server of twice the size got %.2f of the requests, want about 0.5", got)
 	}
 }
+
+// Danger: idle connections are dropped unseen and what is sent on one gets no answer. Much loss on idle
+// connections alone has them closed before a send; loss on all connections, or none, does not.
+func TestIdleConnectionsThatAreDroppedAreClosedFirst(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		idle, fresh Outcome
+		want        bool
+	}{
+		{"dropped when idle", TimedOut, OK, true},
+		{"reset when idle", Reset, OK, true},
+		{"all lost", TimedOut, TimedOut, false},
+		{"none lost", OK, OK, false},
+	} {
+		set := testSettings()
+		set.MaxAttempts = 1
+		g := ready(t, set, host(1), host(2), host(3), host(4), host(5), host(6))
+		for i := range 40 {
+			for _, s := range g.arrive(fmt.Sprint("a", i), "read", 3*time.Second) {
+				o := c.fresh
+				if g.r.reqs[s.ID].idle {
+					o = c.idle
+				}
+				g.pass(20 * ms)
+				g.end(s, o)
+			}
+			if i%2 == 0 { // every second request finds all connections idle
+				g.pass(10 * time.Second)
+			}
+		}
+		closed := 0
+		for _, l := range g.lines {
+			closed += int(count(strings.Contains(l, "logic.Close")))
+		}
+		if closed > 0 != c.want {
+			t.Errorf("%s: %d connections closed", c.name, closed)
+		}
+	}
+}
+
+// Danger: a silent loss shows only when the client gives up; being past the aim shows it sooner.
+func TestOverdueAttemptsCountAsLostOnce(t *testing.T) {
+	g := ready(t, testSettings(), host(1))
+	g.end(g.arrive("a", "read", 4*time.Second)[0], OK)
+	g.pass(2 * time.Second)
+	s := g.arrive("b", "read", 4*time.Second)[0]
+	g.pass(1100 * ms) // its aim is 1 s
+	seen := g.r.lost[1]
+	if seen < symptomStep/2 {
+		t.Fatalf("lost on idle connections %.3f after the aim, want about %.2f", seen, symptomStep)
+	}
+	if g.end(s, OK); g.r.lost[1] != seen {
+		t.Errorf("a late answer was counted again: %.3f, was %.3f", g.r.lost[1], seen)
+	}
+}
+
+// Danger: where new connections take too long, attempts end there; servers with an open one come first.
+func TestOpenConnectionsComeFirstWhereConnectingIsHard(t *testing.T) {
+	set := testSettings()
+	set.ConnIdle, set.Peers = 15*time.Second, 1
+	servers := []Server{}
+	for i := range 20 {
+		servers = append(servers, host(i+1))
+	}
+	g := ready(t, set, servers...)
+	open := map[ServerID]bool{1: true, 2: true, 3: true}
+	failed, sent := 0, 0
+	for i := range 400 {
+		todo := g.arrive(fmt.Sprint("r", i), "read", 3*time.Second)
+		for len(todo) > 0 {
+			s := todo[0]
+			if i >= 200 {
+				sent++
+			}
+			if open[s.Server] {
+				todo = g.end(s, OK)
+			} else {
+				failed += int(count(i >= 200))
+				todo = g.end(s, ConnectFailed)
+			}
+		}
+		g.pass(50 * ms)
+	}
+	if float64(failed) > 0.2*float64(sent) {
+		t.Errorf("%d of %d attempts found no connection, though three servers had one open", failed, sent)
+	}
+}
+
+// Danger: requests that fail at any server pass for a build's errors. One that fails elsewhere too says
+// nothing; one that is served elsewhere counts as an error of the first build.
+func TestSecondTryTellsWhoseErrorItIs(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		class    string
+		anywhere float64 // part of errors that came again
+		second   Outcome
+		want     Arm
+	}{
+		{"served elsewhere", "read", 0, OK, Arm{N: 1, Miss: 1, Err: 1}},
+		{"fails elsewhere", "read", 0, ServerError, Arm{}},
+		{"unknown elsewhere", "read", 0, Rejected, Arm{N: 1, Miss: 1, Err: 1}},
+		{"no second try allowed", "once", 0, OK, Arm{N: 1, Miss: 1, Err: 1}},
+		{"no second try, most errors are the requests'", "once", 0.9, OK, Arm{}},
+	} {
+		set := testSettings()
+		set.MaxAttempts = 2
+		g := newRig(t, set, 3)
+		g.list(host(1), host(2))
+		g.release(2, 0, OnTrial, 0.1)
+		g.r.anywhere = c.anywhere
+		for _, s := range g.end(g.arrive("r", c.class, 4*time.Second)[0], ServerError) {
+			g.end(s, c.second)
+		}
+		g.pass(5 * time.Second)
+		if got := g.r.counts.Old; got != c.want {
+			t.Errorf("%s: counted %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -176,3 +176,51 @@
 	fit                      // those not suspect
 	suspect                  // all
 )
+
+// blend moves a smoothed value a step towards what was seen.
+func blend(x *float64, step, seen float64) { *x += step * (seen - *x) }
+
+// own is this router's report, without the attempts out.
+func (r *Router) own() Report {
+	m := Report{Incarnation: r.incarnation, Build: r.rel.Build, Stage: r.step(), Counts: r.counts,
+		Total: r.total, Demand: hundredths(r.demand), Usual: hundredths(r.usual)}
+	for _, c := range r.classes {
+		m.Before += c.before
+	}
+	return m
+}
+
+// pooled sums the counts of the present stage and build over all routers and their incarnations.
+func (r *Router) pooled() (stage, total Counts) {
+	stage, total = r.counts, r.total
+	for _, m := range r.peers {
+		if m.Build == r.rel.Build {
+			total.plus(m.Total)
+			if m.Stage == r.step() {
+				stage.plus(m.Counts)
+			}
+		}
+	}
+	return stage, total
+}
+
+// tally counts the first attempt of a request.
+func (r *Router) tally(q *request) {
+	f := q.first
+	q.first = first{}
+	if f.N == 0 || f.rel.Build != r.rel.Build {
+		return
+	}
+	r.total.arm(f.build == r.rel.Build).plus(f.Arm)
+	if f.rel.Phase == r.rel.Phase && f.rel.Stage == r.rel.Stage {
+		r.counts.arm(f.build == r.rel.Build).plus(f.Arm)
+	}
+}
+
+// fitOf counts the servers of a group that are not suspect.
+func (r *Router) fitOf(g group) (n int) {
+	for _, s := range g.all {
+		n += int(count(s.until <= r.now))
+	}
+	return n
+}
