--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,30 +43,33 @@
 	retryMax      = 8.0                     // and kept at most
 	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
 	suspectLast   = 8 * time.Second
-	suspectChance = 0.01            // a run of failures less likely than this makes a server suspect
-	failsLeast    = 0.05            // the least part of failures that counts as usual
-	carriedOver   = 10.0            // seconds over which the rate of served requests is smoothed
-	leastCarried  = 0.25            // of the rate of requests: what counts as served in any case
-	coldPart      = 0.6             // part of a cold server's fall budget that all routers together may use
-	crossLoad     = 6.0             // attempts in flight that one point of cross-zone price is worth
-	guardEvery    = time.Second     // pause between the guards' tests
-	guardErrors   = 4               // fewer errors than this say nothing
-	slowPart      = 0.75            // of the answers before a trial were faster than the mark
-	marksLeast    = 4               // answers that make a mark
-	fleetCap      = 0.4             // with less traffic a build hardly slows a fleet
-	fleetTime     = 7 * time.Second // after the release; later slowness has other causes
-	busyDemand    = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
-	fleetMargin   = 0.1             // more slow answers than before the trial by this are harm to the fleet
-	slowMargin    = 0.2             // more slow answers than this, beyond the old build's, are harm
-	busyLife      = time.Second     // attempts out that a peer told of count so long
-	nearLiking    = 8.0             // times the cross-zone price: the chance that one choice is a near server
-	throws        = 6               // random draws of a server before a search
-	spillOver     = 1.3             // drawn requests go to the old build if new servers are so much busier
-	guardMargin   = 0.003           // more errors than this, beyond the old build's, are harm
-	loneFit       = 0.67            // with this part of its build's hosts fit, a failing host stands alone
-	fleetMiss     = 0.05            // slow answers are no harm while no more than this part misses the aim
-	limitStart    = 3.0             // concurrency limit at start, attempts a server
-	limitLeast    = 1.5             // and at least, attempts a server that all routers together may have out
+	suspectChance = 0.01                   // a run of failures less likely than this makes a server suspect
+	failsLeast    = 0.05                   // the least part of failures that counts as usual
+	carriedOver   = 10.0                   // seconds over which the rate of served requests is smoothed
+	leastCarried  = 0.25                   // of the rate of requests: what counts as served in any case
+	coldPart      = 0.6                    // part of a cold server's fall budget that all routers together may use
+	crossLoad     = 6.0                    // attempts in flight that one point of cross-zone price is worth
+	guardEvery    = time.Second            // pause between the guards' tests
+	guardErrors   = 4                      // fewer errors than this say nothing
+	slowPart      = 0.75                   // of the answers before a trial were faster than the mark
+	marksLeast    = 4                      // answers that make a mark
+	fleetCap      = 0.4                    // with less traffic a build hardly slows a fleet
+	fleetTime     = 7 * time.Second        // after the release; later slowness has other causes
+	busyDemand    = 1.15                   // beyond this multiple of the usual requests, slowness is laid to them
+	fleetMargin   = 0.1                    // more slow answers than before the trial by this are harm to the fleet
+	slowMargin    = 0.2                    // more slow answers than this, beyond the old build's, are harm
+	busyLife      = time.Second            // attempts out that a peer told of count so long; nor are rarer ones told
+	busyEvery     = 100 * time.Millisecond // they are told so often at most
+	busyBytes     = 512                    // bytes of such messages that a request pays for
+	busyHead      = 20                     // bytes that any message costs besides its own
+	nearLiking    = 8.0                    // times the cross-zone price: the chance that one choice is a near server
+	throws        = 6                      // random draws of a server before a search
+	spillOver     = 1.3                    // drawn requests go to the old build if new servers are so much busier
+	guardMargin   = 0.003                  // more errors than this, beyond the old build's, are harm
+	loneFit       = 0.67                   // with this part of its build's hosts fit, a failing host stands alone
+	fleetMiss     = 0.05                   // slow answers are no harm while no more than this part misses the aim
+	limitStart    = 3.0                    // concurrency limit at start, attempts a server
+	limitLeast    = 1.5                    // and at least, attempts a server that all routers together may have out
 	limitCut      = 0.9
 	lateBad       = 0.2                    // part of answers over lateness that cuts the limit
 	stickySeen    = 2                      // under forward-only keys met more often do not try a closed stage
@@ -134,7 +137,10 @@
 	r.overdue()
 	r.adjustLimit()
 	r.drainQueue()
-	r.report()
+	if r.s.CanPost && r.s.Peers > 1 {
+		r.report()
+		r.share()
+	}
 	r.ballot()
 }
 
@@ -165,6 +171,7 @@
 		}
 	}
 	r.list, r.heaviest, r.ready = r.list[:0], 0, 0
+	clear(r.short)
 	for id, s := range r.servers {
 		if e.Full && !named[id] {
 			delete(r.servers, id)
@@ -174,6 +181,9 @@
 		r.ready += int(count(s.State == Ready))
 	}
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	for _, s := range r.list {
+		r.short[shortID(s.ID)] = s
+	}
 	r.limit = cmp.Or(r.limit, limitStart*float64(len(r.list)))
 	r.regroup()
 	r.drainQueue()
@@ -748,53 +758,65 @@
 	return r.rel.Stage + int(count(r.rel.Phase == Released))
 }
 
-// report tells the voters the counts, and all peers the attempts out while the requests taken pay for fresh
-// news. Danger: reports of all to all grow with the square of the tier, and most have little to tell.
+// report tells the voters the counts. Danger: reports of all to all grow with the square of the tier, and most
+// routers have little to tell; so how often follows from what the requests taken pay for.
 func (r *Router) report() {
-	if !r.s.CanPost || r.s.Peers < 2 || r.now < r.reportAt {
+	if r.now < r.reportAt {
 		return
 	}
-	r.expire()
-	m := r.own()
-	for _, s := range r.list {
-		if s.inFlight > 0 {
-			m.Busy = append(m.Busy, BusyServer{s.ID, s.inFlight})
-		}
-	}
-	paid := func(receivers int) time.Duration { // the period that the requests pay for
-		return time.Duration(float64(len(m.Encode())*receivers) / max(0.1, reportBytes*r.rate) * 1e9)
-	}
-	period := paid(r.s.Peers - 1)
-	if r.alone = period > busyLife; !r.alone {
-		r.reportAt = r.now + max(period, reportEvery)
-		r.do(Post{Peer: -1, Data: m.Encode()})
-		return
-	}
-	m.Busy = nil
-	r.reportAt = r.now + min(max(paid(voters), reportEvery), reportLast)
+	data := r.own().Encode()
+	r.reportAt = r.now + min(max(r.paid(len(data)*voters, reportBytes), reportEvery), reportLast)
 	for _, v := range r.voters {
 		if v != r.s.Self && (r.rel.Phase == OnTrial || r.rel.Phase == Released && r.total.Old.N > 0) {
-			r.do(Post{Peer: v, Data: m.Encode()})
+			r.do(Post{Peer: v, Data: data})
 		}
 	}
 }
 
-// expire forgets what peers that fell silent have out.
-func (r *Router) expire() {
-	for peer, t := range r.heard {
-		if len(t.Busy) > 0 && r.now > t.at+busyLife {
-			r.countBusy(t.Busy, -1)
-			t.Busy = nil
-			r.heard[peer] = t
+// paid is the time in which the requests taken pay for so many bytes of messages.
+func (r *Router) paid(bytes int, each float64) time.Duration {
+	return time.Duration(float64(bytes) / max(0.1, each*r.rate) * 1e9)
+}
+
+// share tells all peers what is in flight, if that is paid for while it is fresh, and forgets what peers that
+// fell silent have out.
+func (r *Router) share() {
+	if r.now < r.shareAt {
+		return
+	}
+	m := InFlight{}
+	for _, s := range r.list {
+		if s.inFlight > 0 {
+			m = append(m, BusyServer{shortID(s.ID), s.inFlight})
+		}
+	}
+	data := m.Encode()
+	period := max(r.paid((busyHead+len(data))*(r.s.Peers-1), busyBytes), busyEvery)
+	if r.alone = period > busyLife; !r.alone {
+		r.do(Post{Peer: -1, Data: data})
+	}
+	r.shareAt = r.now + min(period, busyLife)
+	for peer, t := range r.told {
+		if len(t.busy) > 0 && r.now > t.at+busyLife {
+			r.countBusy(t.busy, -1)
+			r.told[peer] = told{}
 		}
 	}
 }
 
-// hear takes a peer's report; what is malformed or impossible is dropped.
+// hear takes a peer's message; what is malformed or impossible is dropped.
 func (r *Router) hear(e PeerMessage) {
+	if e.From < 0 || e.From >= r.s.Peers || e.From == r.s.Self {
+		return
+	}
+	if busy, err := DecodeInFlight(e.Data); err == nil {
+		r.countBusy(r.told[e.From].busy, -1)
+		r.countBusy(busy, 1)
+		r.told[e.From] = told{busy, r.now}
+		return
+	}
 	m, err := DecodeReport(e.Data)
-	if err != nil || e.From < 0 || e.From >= r.s.Peers || e.From == r.s.Self ||
-		m.Stage > len(r.s.Rollout.StageCap) {
+	if err != nil || m.Stage > len(r.s.Rollout.StageCap) {
 		return
 	}
 	k := peerKey{e.From, m.Incarnation}
@@ -803,9 +825,7 @@
 		had.Total.size() > m.Total.size()) {
 		return // an older report, come late
 	}
-	r.countBusy(r.heard[e.From].Busy, -1)
-	r.countBusy(m.Busy, 1)
-	r.peers[k], r.heard[e.From] = m, told{m, r.now}
+	r.peers[k], r.heard[e.From] = m, m
 }
 
 // ---- The test ----
--- a/logic/report.go
+++ b/logic/report.go
@@ -24,7 +24,6 @@
 	Demand      uint16 // new requests, hundredths a second, now and
 	Usual       uint16 // before the trial; 0: not known
 	Before      uint32 // answers before the trial that the marks come from
-	Busy        []BusyServer
 }
 
 // peerKey names one life of a peer.
@@ -33,16 +32,23 @@
 	incarnation uint32
 }
 
-// BusyServer tells how many attempts a router has out at a server.
+// InFlight tells at which servers a router has attempts out.
+type InFlight []BusyServer
+
+// BusyServer is one of them, under its short name.
 type BusyServer struct {
-	Server   ServerID
+	Server   uint16
 	InFlight int
 }
 
+// shortID is a server's name in messages; two servers of a fleet rarely share one.
+func shortID(id ServerID) uint16 { return uint16(id ^ id>>16) }
+
 const (
 	reportVersion = 2
+	busyVersion   = 3
 	reportHead    = 12
-	busySize      = 5
+	busySize      = 3
 	maxCount      = 1 << 24 // no router counts this many attempts in a trial
 	maxReport     = 256     // the longest message peers accept
 )
@@ -92,7 +98,7 @@
 	return []*Arm{&r.Counts.Old, &r.Counts.New, &r.Total.Old, &r.Total.New}
 }
 
-// Encode gives the report's bytes, leaving out the busy servers that no longer fit.
+// Encode gives the report's bytes.
 func (r Report) Encode() []byte {
 	b := make([]byte, 0, 128)
 	b = append(b, reportVersion)
@@ -107,13 +113,6 @@
 			b = binary.AppendUvarint(b, uint64(*c))
 		}
 	}
-	for _, s := range r.Busy {
-		if len(b)+busySize > maxReport {
-			break
-		}
-		b = binary.BigEndian.AppendUint32(b, uint32(s.Server))
-		b = append(b, byte(min(s.InFlight, 255)))
-	}
 	return b
 }
 
@@ -142,11 +141,30 @@
 			return Report{}, errReport
 		}
 	}
-	if len(b)%busySize != 0 {
+	if len(b) > 0 {
 		return Report{}, errReport
 	}
-	for ; len(b) > 0; b = b[busySize:] {
-		r.Busy = append(r.Busy, BusyServer{ServerID(binary.BigEndian.Uint32(b)), int(b[4])})
-	}
 	return r, nil
 }
+
+// Encode gives the message's bytes, leaving out the servers that no longer fit.
+func (m InFlight) Encode() []byte {
+	b := []byte{busyVersion}
+	for _, s := range m[:min(len(m), (maxReport-1)/busySize)] {
+		b = binary.BigEndian.AppendUint16(b, s.Server)
+		b = append(b, byte(min(s.InFlight, 255)))
+	}
+	return b
+}
+
+// DecodeInFlight reads such a message; anything malformed or of another version is an error.
+func DecodeInFlight(b []byte) (InFlight, error) {
+	if len(b) == 0 || len(b) > maxReport || b[0] != busyVersion || len(b)%busySize != 1 {
+		return nil, errReport
+	}
+	var m InFlight
+	for b = b[1:]; len(b) > 0; b = b[busySize:] {
+		m = append(m, BusyServer{binary.BigEndian.Uint16(b), int(b[2])})
+	}
+	return m, nil
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,11 +17,12 @@
 	begun bool
 
 	servers     map[ServerID]*server
-	list        []*server // all, by id
-	heaviest    float64   // the largest weight in it
-	ready       int       // those in it that take new work
-	base, trial group     // those of the ordinary build; those of the build on trial
-	trialID     BuildID   // 0: none
+	short       map[uint16]*server // by shortID
+	list        []*server          // all, by id
+	heaviest    float64            // the largest weight in it
+	ready       int                // those in it that take new work
+	base, trial group              // those of the ordinary build; those of the build on trial
+	trialID     BuildID            // 0: none
 	rel         ReleaseStatus
 	relKnown    bool
 	bad         map[BuildID]bool // builds told to go back
@@ -45,14 +46,16 @@
 	lost                          [2]float64    // part of attempts that got no answer: others, those on idle connections
 	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
 
-	alone                       bool // too many peers, or too little traffic, to tell all what is in flight
-	incarnation                 uint32
-	counts, total               Counts // own, of the present stage and of the build
-	peers                       map[peerKey]Report
-	heard                       map[int]told  // the latest of each peer
-	voters                      []int         // who votes on the present build, in order
-	stageAt, listedAt, reportAt time.Duration // stage learned of; its newest machine listed; next report
-	vote                        voteState
+	alone             bool // too many peers, or too little traffic, to tell all what is in flight
+	incarnation       uint32
+	counts, total     Counts // own, of the present stage and of the build
+	peers             map[peerKey]Report
+	heard             map[int]Report // the latest of each peer
+	told              map[int]told   // what peers have in flight
+	voters            []int          // who votes on the present build, in order
+	stageAt, listedAt time.Duration  // stage learned of; its newest machine listed
+	reportAt, shareAt time.Duration  // next messages
+	vote              voteState
 }
 
 // New starts a router that knows its settings only.
@@ -62,7 +65,8 @@
 		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
 		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
 		retries: retryMax}
-	r.incarnation, r.heard = r.rng.Uint32(), map[int]told{}
+	r.incarnation, r.heard, r.told = r.rng.Uint32(), map[int]Report{}, map[int]told{}
+	r.short = map[uint16]*server{}
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &class{Class: c}
 	}
@@ -148,10 +152,10 @@
 	tested, busy bool
 }
 
-// told is a peer's latest report and when it came.
+// told is what a peer has in flight, and when that was heard.
 type told struct {
-	Report
-	at time.Duration
+	busy InFlight
+	at   time.Duration
 }
 
 func hundredths(x float64) uint16 { return uint16(min(100*max(0, x), math.MaxUint16)) }
@@ -160,9 +164,9 @@
 func share(some, all uint32) float64 { return float64(some) / float64(max(1, all)) }
 
 // countBusy adds or takes off the attempts that a peer has out.
-func (r *Router) countBusy(busy []BusyServer, sign int) {
+func (r *Router) countBusy(busy InFlight, sign int) {
 	for _, b := range busy {
-		if s := r.servers[b.Server]; s != nil {
+		if s := r.short[b.Server]; s != nil {
 			s.peerBusy = max(0, s.peerBusy+sign*b.InFlight)
 		}
 	}
