--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,70 +30,77 @@
 	reportBytes  = 64                     // bytes of messages that a request pays for
 )
 
-// Values for what the design leaves open.
+// Values for what the design leaves open, by concern.
 const (
-	tickEvery     = 50 * time.Millisecond
-	stallAfter    = 100 * time.Millisecond  // a tick this late tells that the router stood still
-	launchWait    = 10 * time.Second        // a stage whose machines never get listed is tested after this
-	voteStagger   = 1200 * time.Millisecond // a voter waits this long for each one before it to say 'on'
-	backStagger   = 400 * time.Millisecond  // the same for 'back'
-	voteRetry     = 700 * time.Millisecond  // pause after a vote that did not count
-	voteRenew     = 500 * time.Millisecond  // a vote is renewed this long before it lapses
-	retryEarn     = 0.05                    // repeats after errors earned by a request
-	retryMax      = 8.0                     // and kept at most
-	suspectFirst  = 500 * time.Millisecond  // a failing server is left alone this long, then twice, ...
-	suspectLast   = 8 * time.Second
+	tickEvery  = 50 * time.Millisecond
+	stallAfter = 100 * time.Millisecond // a tick this late tells that the router stood still
+
 	suspectChance = 0.01                   // a run of failures less likely than this makes a server suspect
-	failsLeast    = 0.05                   // the least part of failures that counts as usual
-	carriedOver   = 10.0                   // seconds over which the rate of served requests is smoothed
-	leastCarried  = 0.25                   // of the rate of requests: what counts as served in any case
-	coldPart      = 0.6                    // part of a cold server's fall budget that all routers together may use
-	crossLoad     = 6.0                    // attempts in flight that one point of cross-zone price is worth
-	guardEvery    = time.Second            // pause between the guards' tests
-	guardErrors   = 4                      // fewer errors than this say nothing
-	slowPart      = 0.75                   // of the answers before a trial were faster than the mark
-	marksLeast    = 4                      // answers that make a mark
-	fleetCap      = 0.4                    // with less traffic a build hardly slows a fleet
-	fleetTime     = 7 * time.Second        // after the release; later slowness has other causes
-	busyDemand    = 1.15                   // beyond this multiple of the usual requests, slowness is laid to them
-	fleetMargin   = 0.1                    // more slow answers than before the trial by this are harm to the fleet
-	slowMargin    = 0.2                    // more slow answers than this, beyond the old build's, are harm
-	busyLife      = time.Second            // attempts out that a peer told of count so long; nor are rarer ones told
-	busyEvery     = 100 * time.Millisecond // they are told so often at most
-	busyBytes     = 512                    // bytes of such messages that a request pays for
-	busyHead      = 20                     // bytes that any message costs besides its own
-	nearLiking    = 8.0                    // times the cross-zone price: the chance that one choice is a near server
-	throws        = 6                      // random draws of a server before a search
-	spillOver     = 1.3                    // drawn requests go to the old build if new servers are so much busier
-	guardMargin   = 0.003                  // more errors than this, beyond the old build's, are harm
-	loneFit       = 0.67                   // with this part of its build's hosts fit, a failing host stands alone
-	fleetMiss     = 0.05                   // slow answers are no harm while no more than this part misses the aim
-	limitStart    = 3.0                    // concurrency limit at start, attempts a server
-	limitLeast    = 1.5                    // and at least, attempts a server that all routers together may have out
+	suspectFirst  = 500 * time.Millisecond // it is left alone this long, then twice, ...
+	suspectLast   = 8 * time.Second
+	failsLeast    = 0.05 // the least part of failures that counts as usual
+
+	coldPart     = 0.6  // part of a cold server's fall budget that all routers together may use
+	carriedOver  = 10.0 // seconds over which the rate of served requests is smoothed
+	leastCarried = 0.25 // of the rate of requests: what counts as served in any case
+
+	throws     = 6   // random draws of a server before a search
+	crossLoad  = 6.0 // attempts in flight that one point of cross-zone price is worth
+	nearLiking = 8.0 // times the cross-zone price: the chance that one choice is a near server
+	spillOver  = 1.3 // drawn requests go to the old build if new servers are so much busier
+	stickySeen = 2   // under forward-only keys met more often do not try a closed stage
+
+	symptomStep  = 0.08                   // of the parts of attempts that show a symptom, each attempt
+	idleLong     = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
+	lostMuch     = 0.2                    // of those on idle connections got no answer: they are dropped
+	lostFade     = 0.997                  // of what was lost on them, each tick
+	anywhereMuch = 0.5                    // of the errors come again elsewhere: they are the requests' own
+	anywhereTry  = 0.1                    // then so many are tried again
+	connectHard  = 0.1                    // of the attempts find no connection: connecting is hard
+
+	limitStart    = 3.0 // concurrency limit at start, attempts a server
+	limitLeast    = 1.5 // and at least, attempts a server that all routers together may have out
 	limitCut      = 0.9
-	lateBad       = 0.2                    // part of answers over lateness that cuts the limit
-	stickySeen    = 2                      // under forward-only keys met more often do not try a closed stage
-	idleLong      = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
-	symptomStep   = 0.08                   // of the parts of attempts that show a symptom, each attempt
-	lostMuch      = 0.2                    // of those on idle connections got no answer: they are dropped
-	lostFade      = 0.997                  // of what was lost on them, each tick
-	anywhereMuch  = 0.5                    // so many: errors are the requests' own
-	connectHard   = 0.1                    // so many: connecting is hard
-	overShareEdge = 1.3                    // a tenant is over its share beyond this multiple of its part
+	lateBad       = 0.2 // part of answers over lateness that cuts the limit
+	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
+
+	busyLife  = time.Second            // attempts out that a peer told of count so long
+	busyEvery = 100 * time.Millisecond // they are told so often at most
+	busyBytes = 512                    // bytes of such messages that a request pays for
+	busyHead  = 20                     // bytes that any message costs besides its own
+
+	guardEvery  = time.Second     // pause between the guards' tests
+	guardErrors = 4               // fewer errors than this say nothing
+	guardMargin = 0.003           // more errors than this, beyond the old build's, are harm
+	loneFit     = 0.67            // with this part of its build's hosts fit, a failing host stands alone
+	slowPart    = 0.75            // of the answers before a trial were faster than the mark
+	marksLeast  = 4               // answers that make a mark
+	slowMargin  = 0.2             // more slow answers than this, beyond the old build's, are harm
+	fleetCap    = 0.4             // with less traffic a build hardly slows a fleet
+	fleetTime   = 7 * time.Second // after the release; later slowness has other causes
+	fleetMargin = 0.1             // more slow answers than before the trial by this are harm to the fleet
+	fleetMiss   = 0.05            // slow answers are no harm while no more than this part misses the aim
+	busyDemand  = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
+
+	launchWait  = 10 * time.Second        // a stage whose machines never get listed is tested after this
+	voteStagger = 1200 * time.Millisecond // a voter waits this long for each one before it to say 'on'
+	backStagger = 400 * time.Millisecond  // the same for 'back'
+	voteRetry   = 700 * time.Millisecond  // pause after a vote that did not count
+	voteRenew   = 500 * time.Millisecond  // a vote is renewed this long before it lapses
 )
 
 // Handle takes one event and returns what is to be done; the slice is valid until the next call.
 func (r *Router) Handle(now time.Duration, e Event) []Action {
 	r.now, r.out = now, r.out[:0]
-	if r.begun && now > r.tickDue+stallAfter {
-		r.woke, r.tickDue = now, now
-	}
-	if !r.begun {
+	switch {
+	case !r.begun:
 		r.begun, r.tickDue = true, now+tickEvery
 		r.do(SetTimer{After: tickEvery, Token: 1})
 		if r.s.AskDiscovery {
 			r.do(Watch{})
 		}
+	case now > r.tickDue+stallAfter:
+		r.woke, r.tickDue = now, now
 	}
 	switch e := e.(type) {
 	case ServersListed:
@@ -135,6 +142,7 @@
 		t.came = 0
 	}
 	r.overdue()
+	r.gate = r.coldGate(r.base)
 	r.adjustLimit()
 	r.drainQueue()
 	if r.s.CanPost && r.s.Peers > 1 {
@@ -159,9 +167,9 @@
 		case entry.State == Gone:
 			delete(r.servers, entry.ID)
 		case have == nil:
-			r.servers[entry.ID] = &server{Server: entry, spent: r.rng.Float64()}
+			r.servers[entry.ID] = &server{Server: entry}
 		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
-			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, r.rng.Float64(), entry
+			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, 0, entry
 		default:
 			have.State, have.Weight = entry.State, entry.Weight
 			continue
@@ -189,30 +197,15 @@
 	r.drainQueue()
 }
 
-// ramp is the part of its capacity that a server surely has.
-func (r *Router) ramp(s *server) float64 {
-	if s.Started == 0 || r.s.ColdTime <= 0 {
-		return 1
-	}
-	age := float64(r.now-s.Started) / float64(r.s.ColdTime)
-	return min(1, r.s.ColdFrom+(1-r.s.ColdFrom)*max(0, age))
-}
-
 // coldRoom tells whether a cold server may get one more request. Danger: all routers together push a
 // server that has just started over. Each router uses at most coldPart of the stated multiple of what the
-// servers serve it on average, so the sum stays within the budget whatever the routers' shares are. Many
-// routers could each send a first request at once; so each waits for a part of one, by chance.
+// servers serve it on average, so the sum stays within the budget whatever the routers' shares are.
 func (r *Router) coldRoom(s *server, spend bool) bool {
 	ramp := r.ramp(s)
 	if ramp >= 1 || len(r.list) == 0 {
 		return true
 	}
-	places := max(1, len(r.base.all), len(r.trial.all))
-	if r.s.Rollout.Rolling {
-		places = max(places, r.ready)
-	}
-	fair := max(r.carried, leastCarried*r.rate) / float64(places)
-	rate := coldPart * r.s.FallMultiple * ramp * fair
+	rate := ramp * r.coldRate()
 	depth := max(1, rate*r.s.FallTime.Seconds()/2)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
 	s.spentAt = r.now
@@ -222,6 +215,25 @@
 	return s.spent+1 <= depth+1e-9
 }
 
+// coldRate is what this router may send to a server a second, by the part of its capacity that it has.
+func (r *Router) coldRate() float64 {
+	places := max(1, len(r.base.all), len(r.trial.all))
+	if r.s.Rollout.Rolling {
+		places = max(places, r.ready)
+	}
+	return coldPart * r.s.FallMultiple * max(r.carried, leastCarried*r.rate) / float64(places)
+}
+
+// coldGate is the part of its requests that a router may send to a group with cold servers in it. Danger: of
+// many routers each has room for a first request, and where few servers are left all turn to them.
+func (r *Router) coldGate(g group) float64 {
+	sum := 0.0
+	for _, s := range g.all {
+		sum += r.ramp(s)
+	}
+	return sum * r.coldRate() / max(r.rate, 1e-9)
+}
+
 // blame notes a failure that may be the server's own. Danger: a server that fails at once looks idle and
 // draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike. Danger:
 // requests that fail anywhere would pause all, so a run must be unlikely at the usual part of failures.
@@ -236,18 +248,6 @@
 
 // ---- Builds and exposure ----
 
-func (r *Router) budget(build BuildID, c *class) *budget {
-	k := budgetKey{build: build}
-	if r.s.Rollout.PerClass {
-		k.class = c.Name
-	}
-	if r.budgets[k] == nil { // one free attempt is kept for what requests have earned
-		used := slices.Repeat([]time.Duration{r.now - 2*r.s.Rollout.Window}, max(0, int(r.s.Rollout.Free)-1))
-		r.budgets[k] = &budget{slots: used}
-	}
-	return r.budgets[k]
-}
-
 // trialCap is the cap and stage that bind for a build that is not released.
 func (r *Router) trialCap(build BuildID) (float64, int) {
 	if build == r.rel.Build || len(r.s.Rollout.StageCap) == 0 {
@@ -269,9 +269,7 @@
 	}
 	b := r.budget(build, c)
 	if b.earned >= 1 {
-		if take {
-			b.earned--
-		}
+		b.earned -= float64(count(take))
 		return true
 	}
 	old := r.now - r.s.Rollout.Window - r.s.Tick
@@ -308,6 +306,7 @@
 			r.trial.add(s, r.s.Zone)
 		}
 	}
+	r.gate = r.coldGate(r.base)
 }
 
 // trialChance is the chance that a first request tries the build on trial: the design's share of the cap.
@@ -346,9 +345,6 @@
 	return l
 }
 
-// capacity is what a server can do now, by its listed weight.
-func (r *Router) capacity(s *server) float64 { return max(s.Weight, 0.01) * r.ramp(s) }
-
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
 // loaded; suspects only where nothing else is left. Danger: where connecting takes too long, most attempts
 // would end there; then servers with an open connection come first.
@@ -380,7 +376,9 @@
 	usable := func(s *server) bool {
 		well := s != q.server && s.until <= r.now
 		open := s.usedAt > 0 && r.now < s.usedAt+r.s.ConnIdle
-		return (well || how == suspect) && (open || how != warm) && r.repeatOK(q, s) && r.coldRoom(s, false)
+		let := r.ramp(s) >= 1 || q.luck < r.gate || q.draw && r.onTrial(s.Build) // through the gate
+		return (well || how == suspect) && (open || how != warm) && let && r.repeatOK(q, s) &&
+			r.coldRoom(s, false)
 	}
 	for range min(throws, len(servers)) {
 		s := servers[r.rng.IntN(len(servers))]
@@ -448,11 +446,11 @@
 	if c == nil { // a class outside the settings is treated as the strictest
 		c = &class{Class: Class{Name: e.Class, Repeat: Unsafe, Aim: e.Left, Deadline: e.Left, Worth: 1}}
 	}
-	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
+	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth,
+		luck: r.rng.Float64()}
 	r.reqs[e.ID] = q
 	r.arrived++
 	r.unserved += float64(count(e.Retry)) // of a request that was counted before
-	r.retries = min(retryMax, max(0, r.retries)+retryEarn)
 	if t := r.tenants[e.Tenant]; t != nil {
 		t.came++
 		if t.rate > overShareEdge*t.part*r.rate {
@@ -562,9 +560,8 @@
 	r.drainQueue()
 }
 
-// reaped tells that idle connections are dropped unseen: much more goes missing on them than on others. Then
-// they are closed before a send. Danger: what is sent on one gets no answer, and may not be sent again. So
-// silent servers, too, show at the connect; it costs handshakes until the loss has faded.
+// reaped tells that idle connections are dropped unseen: much more is lost on them than on others. They are
+// closed before a send then, and silent servers show at the connect; it costs handshakes meanwhile.
 func (r *Router) reaped() bool { return r.lost[1] > lostMuch && r.lost[1] > 2*r.lost[0] }
 
 // overdue counts attempts past their aim as missing at once, since a silent loss shows only at the deadline.
@@ -605,9 +602,8 @@
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
 func (r *Router) again(q *request, o Outcome) {
-	r.retries -= float64(count(o == ServerError))
-	poor := r.retries < 0 && (q.attempts > 1 || r.anywhere > anywhereMuch && !q.sentTrial)
-	spent := poor || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe
+	vain := q.attempts > 1 || r.anywhere > anywhereMuch && !q.sentTrial && q.luck > anywhereTry
+	spent := o == ServerError && vain || q.attempts >= r.s.MaxAttempts || q.mayRan && q.class.Repeat == Unsafe
 	if spent || r.deadlineNear(q) {
 		r.finish(q)
 	} else if !r.try(q) {
@@ -753,13 +749,8 @@
 	}
 }
 
-// step numbers the stages for reports; the time after the release is one more.
-func (r *Router) step() int {
-	return r.rel.Stage + int(count(r.rel.Phase == Released))
-}
-
-// report tells the voters the counts. Danger: reports of all to all grow with the square of the tier, and most
-// routers have little to tell; so how often follows from what the requests taken pay for.
+// report tells the voters the counts. Danger: reports of all to all grow with the square of the tier, and
+// most routers have little to tell; so how often follows from what the requests taken pay for.
 func (r *Router) report() {
 	if r.now < r.reportAt {
 		return
@@ -778,8 +769,7 @@
 	return time.Duration(float64(bytes) / max(0.1, each*r.rate) * 1e9)
 }
 
-// share tells all peers what is in flight, if that is paid for while it is fresh, and forgets what peers that
-// fell silent have out.
+// share tells all peers what is in flight if that is paid for while fresh; it forgets what silent ones have.
 func (r *Router) share() {
 	if r.now < r.shareAt {
 		return
@@ -973,10 +963,8 @@
 		r.do(Log{fmt.Sprintf("build %d stage %d: %s; old, new (n miss err slow wrong): %v total %v",
 			r.rel.Build, r.rel.Stage, why, stage, total)})
 	}
-	if v.verdict == VoteOn && r.s.Rollout.Clocked {
-		return // such a stage moves on by itself
-	}
-	if !v.tested || v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
+	moves := v.verdict == VoteOn && r.s.Rollout.Clocked // the stage does by itself
+	if !v.tested || moves || v.out != 0 && r.now < v.out+r.s.Rollout.VoteTimeout+voteRetry || r.now < v.at {
 		return
 	}
 	v.out = r.now
@@ -993,9 +981,8 @@
 }
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
-// new shows nothing: the walk compares each arm with the time before the trial, and both must have slowed.
-// Where one arm has not, dead or sick servers are the cause; in a stage that saw a burst, that is. It hurts
-// where much of a fleet is lost just when a build has got much traffic.
+// new shows nothing: the walk compares each arm with the time before the trial; both must have slowed, else
+// sick servers are the cause. It hurts where much of a fleet is lost as a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	own := r.own()
@@ -1005,7 +992,7 @@
 			demand, usual = demand+float64(m.Demand), usual+float64(m.Usual)
 		}
 	}
-	r.vote.busy = r.vote.busy || demand >= busyDemand*usual // the stage's counts hold a burst
+	r.vote.busy = r.vote.busy || demand >= busyDemand*usual // the stage's counts hold a burst, the cause
 	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 	heaviest    float64            // the largest weight in it
 	ready       int                // those in it that take new work
 	base, trial group              // those of the ordinary build; those of the build on trial
+	gate        float64            // of the base group: see coldGate
 	trialID     BuildID            // 0: none
 	rel         ReleaseStatus
 	relKnown    bool
@@ -33,18 +35,18 @@
 	sticky  map[uint64]BuildID // forward-only: the newest build that has answered a key
 	seen    map[uint64]int     // forward-only: how often a key came in this stage
 
-	reqs                          map[RequestID]*request
-	waiting                       []*request
-	inFlight                      int
-	limit, answers, late          float64       // the concurrency limit; outcomes since it was set
-	retries, rate, arrived, ticks float64       // repeats earned; requests a second; since the last tick
-	demand, usual, unserved       float64       // new requests a second; before the trial; unserved
-	failing                       float64       // part of the attempts that ended in an error or no answer
-	anywhere                      float64       // part of errors that came again at another server
-	served, carried               float64       // requests served since the last tick; a second, over a longer time
-	unconnected                   float64       // part of attempts that found no connection
-	lost                          [2]float64    // part of attempts that got no answer: others, those on idle connections
-	tickDue, woke                 time.Duration // next tick; the last wake-up that came late
+	reqs                    map[RequestID]*request
+	waiting                 []*request
+	inFlight                int
+	limit, answers, late    float64       // the concurrency limit; outcomes since it was set
+	rate, arrived, ticks    float64       // requests a second; since the last tick
+	demand, usual, unserved float64       // new requests a second; before the trial; unserved
+	failing                 float64       // part of the attempts that ended in an error or no answer
+	anywhere                float64       // part of errors that came again at another server
+	served, carried         float64       // requests served since the last tick; a second, over a longer time
+	unconnected             float64       // part of attempts that found no connection
+	lost                    [2]float64    // part of attempts that got no answer: others, those on idle connections
+	tickDue, woke           time.Duration // next tick; the last wake-up that came late
 
 	alone             bool // too many peers, or too little traffic, to tell all what is in flight
 	incarnation       uint32
@@ -64,7 +66,7 @@
 		servers: map[ServerID]*server{}, bad: map[BuildID]bool{}, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, budgets: map[budgetKey]*budget{}, sticky: map[uint64]BuildID{},
 		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
-		retries: retryMax}
+	}
 	r.incarnation, r.heard, r.told = r.rng.Uint32(), map[int]Report{}, map[int]told{}
 	r.short = map[uint16]*server{}
 	for _, c := range s.Classes {
@@ -101,8 +103,9 @@
 	sentTrial         bool
 	to, ranOn         Server // the server as listed at the send; at the first that may have run
 	mayRan            bool
-	draw, ended       bool // drawn for the build on trial; answered or gone
-	idle, overdue     bool // sent on a connection long idle; past its aim without an answer
+	luck              float64 // drawn once, against coldGate
+	draw, ended       bool    // drawn for the build on trial; answered or gone
+	idle, overdue     bool    // sent on a connection long idle; past its aim without an answer
 	first             first
 }
 
@@ -228,3 +231,33 @@
 	}
 	return n
 }
+
+// ramp is the part of its capacity that a server surely has.
+func (r *Router) ramp(s *server) float64 {
+	if s.Started == 0 || r.s.ColdTime <= 0 {
+		return 1
+	}
+	age := float64(r.now-s.Started) / float64(r.s.ColdTime)
+	return min(1, r.s.ColdFrom+(1-r.s.ColdFrom)*max(0, age))
+}
+
+// capacity is what a server can do now, by its listed weight.
+func (r *Router) capacity(s *server) float64 { return max(s.Weight, 0.01) * r.ramp(s) }
+
+// budget finds the budget of a build and class.
+func (r *Router) budget(build BuildID, c *class) *budget {
+	k := budgetKey{build: build}
+	if r.s.Rollout.PerClass {
+		k.class = c.Name
+	}
+	if r.budgets[k] == nil { // one free attempt is kept for what requests have earned
+		used := slices.Repeat([]time.Duration{r.now - 2*r.s.Rollout.Window}, max(0, int(r.s.Rollout.Free)-1))
+		r.budgets[k] = &budget{slots: used}
+	}
+	return r.budgets[k]
+}
+
+// step numbers the stages for reports; the time after the release is one more.
+func (r *Router) step() int {
+	return r.rel.Stage + int(count(r.rel.Phase == Released))
+}
