--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,6 +56,7 @@
 	lostFade     = 0.997                  // of what was lost on them, each tick
 	anywhereMuch = 0.5                    // of the errors come again elsewhere: they are the requests' own
 	anywhereTry  = 0.1                    // then so many are tried again
+	connectSlow  = 0.3                    // of the aim later on new connections: connecting is slow
 	connectHard  = 0.1                    // of the attempts find no connection: connecting is hard
 
 	limitStart    = 3.0 // concurrency limit at start, attempts a server
@@ -349,9 +350,9 @@
 // loaded; suspects only where nothing else is left. Danger: where connecting takes too long, most attempts
 // would end there; then servers with an open connection come first.
 func (r *Router) pick(g group, q *request) *server {
-	how := warm
-	if r.unconnected < connectHard {
-		how = fit
+	how := fit
+	if r.unconnected > connectHard && !q.draw { // on trial they would crowd the few that are known
+		how = warm
 	}
 	a := r.throw(g.all, q, how)
 	for ; a == nil && how < suspect; a = r.throw(g.all, q, how) {
@@ -502,10 +503,11 @@
 		r.mayTry(s.Build, q.class, true)
 	}
 	r.coldRoom(s, true)
-	q.idle = s.inFlight == 0 && s.usedAt > 0 && r.now > s.usedAt+idleLong
+	q.connects = s.usedAt == 0 || r.now > s.usedAt+r.s.ConnIdle
+	q.idle = s.inFlight == 0 && !q.connects && r.now > s.usedAt+idleLong
 	if q.idle && r.reaped() {
 		r.do(Close{Server: s.ID})
-		q.idle = false
+		q.idle, q.connects = false, true
 	}
 	s.usedAt = r.now
 	q.server, q.to, q.sentAt, q.out, q.overdue = s, s.Server, r.now, true, false
@@ -544,7 +546,10 @@
 	}
 	if e.Outcome == OK {
 		r.served++
-		if r.s.Rollout.ForwardOnly && q.HasKey {
+		if !q.sentTrial { // else a slow build would pass for slow connecting
+			blend(&r.slowness[count(q.connects)], symptomStep, e.Took.Seconds()/q.class.Aim.Seconds())
+		}
+		if q.HasKey && r.s.Rollout.ForwardOnly {
 			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
 		}
 		blend(&q.class.took, 0.05, e.Took.Seconds())
@@ -579,6 +584,12 @@
 	r.lost[1] *= lostFade
 }
 
+// connectsSlow tells that answers on new connections come much later than on open ones. Danger: new servers
+// pass for a bad build, since all connections to them are new.
+func (r *Router) connectsSlow() bool {
+	return r.slowness[0] > 0 && r.slowness[1] > r.slowness[0]+connectSlow
+}
+
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
 	failed := e.Outcome == TimedOut || e.Outcome == ServerError
@@ -688,9 +699,9 @@
 		group = r.trial
 	}
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
-	// most hosts of its build are fit; and no build has looked at a request that found no connection.
+	// most hosts of its build are fit; and connecting is no build's doing, be it slow or in vain.
 	lone := q.server.until > r.now && float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
-	unheard := e.Outcome == ConnectFailed || lone
+	unheard := e.Outcome == ConnectFailed || lone || q.connects && r.connectsSlow()
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
 	if e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
 		q.sentRel.Build != r.rel.Build {
@@ -706,13 +717,13 @@
 
 // second judges an error by how the request fared at another server: where it failed there too, the request
 // is at fault and does not count. Danger: requests that fail anywhere pass for a burst, and for a bad build.
-// Where most errors are such, one without a second try (o nil) does not count either. It hurts where a build
-// fails nearly all of a class after its release: fewer of its errors count.
+// Nor does one that a second try could judge and has not (o nil), or where most errors are the requests' own.
+// It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
 func (r *Router) second(q *request, o *Outcome) {
 	if q.first.Err == 0 {
 		return
 	}
-	own := r.anywhere > anywhereMuch
+	own := r.anywhere > anywhereMuch || q.class.Repeat != Unsafe
 	if o != nil && (*o == OK || *o == ServerError) {
 		own = *o != OK
 		blend(&r.anywhere, symptomStep, float64(count(own)))
@@ -811,9 +822,8 @@
 	}
 	k := peerKey{e.From, m.Incarnation}
 	had := r.peers[k]
-	if had.Build > m.Build || had.Build == m.Build && (had.Stage > m.Stage || had.Stage == m.Stage &&
-		had.Total.size() > m.Total.size()) {
-		return // an older report, come late
+	if m.older(had) {
+		return // come late
 	}
 	r.peers[k], r.heard[e.From] = m, m
 }
@@ -985,14 +995,9 @@
 // sick servers are the cause. It hurts where much of a fleet is lost as a build has got much traffic.
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
-	own := r.own()
-	demand, usual, before := float64(own.Demand), float64(own.Usual), own.Before
-	for _, m := range r.heard {
-		if before += m.Before; m.Usual > 0 { // a restarted router does not know what was usual
-			demand, usual = demand+float64(m.Demand), usual+float64(m.Usual)
-		}
-	}
-	r.vote.busy = r.vote.busy || demand >= busyDemand*usual // the stage's counts hold a burst, the cause
+	demand, usual, before := r.pooledDemand()
+	hard := r.unconnected > connectHard || r.connectsSlow()
+	r.vote.busy = r.vote.busy || hard || demand >= busyDemand*usual // the stage's counts hold another cause
 	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
--- a/logic/report.go
+++ b/logic/report.go
@@ -94,6 +94,14 @@
 	return a.N <= maxCount && a.Miss <= a.N && a.Err+a.Wrong <= a.Miss && a.Slow <= a.Timed && a.Timed <= a.N
 }
 
+// older tells whether another report of the same life of a router was made after this one.
+func (r *Report) older(other Report) bool {
+	if other.Build != r.Build {
+		return other.Build > r.Build
+	}
+	return other.Stage > r.Stage || other.Stage == r.Stage && other.Total.size() > r.Total.size()
+}
+
 func (r *Report) arms() []*Arm {
 	return []*Arm{&r.Counts.Old, &r.Counts.New, &r.Total.Old, &r.Total.New}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -43,6 +43,7 @@
 	demand, usual, unserved float64       // new requests a second; before the trial; unserved
 	failing                 float64       // part of the attempts that ended in an error or no answer
 	anywhere                float64       // part of errors that came again at another server
+	slowness                [2]float64    // time of answers as a part of the aim: on open connections, on new ones
 	served, carried         float64       // requests served since the last tick; a second, over a longer time
 	unconnected             float64       // part of attempts that found no connection
 	lost                    [2]float64    // part of attempts that got no answer: others, those on idle connections
@@ -106,6 +107,7 @@
 	luck              float64 // drawn once, against coldGate
 	draw, ended       bool    // drawn for the build on trial; answered or gone
 	idle, overdue     bool    // sent on a connection long idle; past its aim without an answer
+	connects          bool    // sent with no connection open
 	first             first
 }
 
@@ -261,3 +263,15 @@
 func (r *Router) step() int {
 	return r.rel.Stage + int(count(r.rel.Phase == Released))
 }
+
+// pooledDemand sums what all routers tell of demand now and before the trial, and of the answers behind marks.
+func (r *Router) pooledDemand() (demand, usual float64, before uint32) {
+	own := r.own()
+	demand, usual, before = float64(own.Demand), float64(own.Usual), own.Before
+	for _, m := range r.heard {
+		if before += m.Before; m.Usual > 0 { // a restarted router does not know what was usual
+			demand, usual = demand+float64(m.Demand), usual+float64(m.Usual)
+		}
+	}
+	return demand, usual, before
+}
