--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,6 +47,7 @@
 	throws     = 6   // random draws of a server before a search
 	crossLoad  = 6.0 // attempts in flight that one point of cross-zone price is worth
 	nearLiking = 8.0 // times the cross-zone price: the chance that one choice is a near server
+	lateSpare  = 2.0 // the trial share falls by this times the part of late answers
 	spillOver  = 1.3 // drawn requests go to the old build if new servers are so much busier
 	stickySeen = 2   // under forward-only keys met more often do not try a closed stage
 
@@ -329,6 +330,7 @@
 	}
 	if r.alone { // busier servers would pass for a worse build, and no spill evens them out without news
 		places += fresh
+		fresh *= max(0, 1-lateSpare*r.lateness) // where much is late, a little slower is much later
 	} else if r.s.Rollout.Rolling {
 		places += float64(len(r.trial.all))
 	}
@@ -605,10 +607,9 @@
 	if q.sentTrial && len(r.base.all) > 0 {
 		return
 	}
-	r.answers++
-	if e.Outcome == Rejected || e.Outcome == TimedOut || e.Outcome == OK && e.Took > q.class.Aim*8/10 {
-		r.late++
-	}
+	late := e.Outcome == Rejected || e.Outcome == TimedOut || e.Outcome == OK && e.Took > q.class.Aim*8/10
+	r.answers, r.late = r.answers+1, r.late+float64(count(late))
+	blend(&r.lateness, symptomStep, float64(count(late)))
 }
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
--- a/logic/state.go
+++ b/logic/state.go
@@ -43,6 +43,7 @@
 	demand, usual, unserved float64       // new requests a second; before the trial; unserved
 	failing                 float64       // part of the attempts that ended in an error or no answer
 	anywhere                float64       // part of errors that came again at another server
+	lateness                float64       // part of answers of the ordinary build that came late
 	slowness                [2]float64    // time of answers as a part of the aim: on open connections, on new ones
 	served, carried         float64       // requests served since the last tick; a second, over a longer time
 	unconnected             float64       // part of attempts that found no connection
