--- a/logic/logic.go
+++ b/logic/logic.go
@@ -353,7 +353,7 @@
 // would end there; then servers with an open connection come first.
 func (r *Router) pick(g group, q *request) *server {
 	how := fit
-	if r.unconnected > connectHard && !q.draw { // on trial they would crowd the few that are known
+	if r.unconnected > connectHard && !q.draw { // those drawn would crowd the few new ones that are known
 		how = warm
 	}
 	a := r.throw(g.all, q, how)
@@ -529,10 +529,7 @@
 	q.out = false
 	s.inFlight--
 	r.inFlight--
-	s.usedAt = r.now
-	if e.Outcome == ConnectFailed {
-		s.usedAt = 0
-	}
+	s.usedAt = r.now * time.Duration(count(e.Outcome != ConnectFailed)) // 0: none is open
 	blend(&r.unconnected, symptomStep, float64(count(e.Outcome == ConnectFailed)))
 	if !q.overdue {
 		lost := e.Outcome == TimedOut || e.Outcome == Reset
@@ -695,10 +692,7 @@
 		c.next++
 	}
 	closed := r.rel.Phase == OnTrial && r.rel.Stage < r.s.Rollout.ClosedStages && c.Repeat != Safe
-	group := r.base
-	if q.to.Build == r.trialID {
-		group = r.trial
-	}
+	group := r.groupOf(q.to.Build)
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
 	// most hosts of its build are fit; and connecting is no build's doing, be it slow or in vain.
 	lone := q.server.until > r.now && float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
--- a/logic/state.go
+++ b/logic/state.go
@@ -227,6 +227,14 @@
 	}
 }
 
+// groupOf is the build on trial's group, or the ordinary one.
+func (r *Router) groupOf(b BuildID) group {
+	if b == r.trialID {
+		return r.trial
+	}
+	return r.base
+}
+
 // fitOf counts the servers of a group that are not suspect.
 func (r *Router) fitOf(g group) (n int) {
 	for _, s := range g.all {
