--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,8 @@
 	carriedOver  = 10.0 // seconds over which the rate of served requests is smoothed
 	leastCarried = 0.25 // of the rate of requests: what counts as served in any case
 
+	fewLeast   = 6   // servers of a group that a lonely router keeps to
+	fewWithin  = 3.0 // or as many as it has requests in so many seconds
 	throws     = 6   // random draws of a server before a search
 	crossLoad  = 6.0 // attempts in flight that one point of cross-zone price is worth
 	nearLiking = 8.0 // times the cross-zone price: the chance that one choice is a near server
@@ -58,7 +60,6 @@
 	anywhereMuch = 0.5                    // of the errors come again elsewhere: they are the requests' own
 	anywhereTry  = 0.1                    // then so many are tried again
 	connectSlow  = 0.3                    // of the aim later on new connections: connecting is slow
-	connectHard  = 0.1                    // of the attempts find no connection: connecting is hard
 
 	limitStart    = 3.0 // concurrency limit at start, attempts a server
 	limitLeast    = 1.5 // and at least, attempts a server that all routers together may have out
@@ -157,8 +158,8 @@
 // ---- Servers: the list, health and the cold ramp ----
 
 func (r *Router) listed(e ServersListed) {
-	if e.Failed {
-		r.do(Watch{}) // only who asked is told of a failure
+	if e.Failed { // only who asked is told of it
+		r.do(Watch{})
 		return
 	}
 	named := map[ServerID]bool{}
@@ -207,7 +208,7 @@
 	if ramp >= 1 || len(r.list) == 0 {
 		return true
 	}
-	rate := ramp * r.coldRate()
+	rate := ramp * r.coldRate() * r.groupOf(s.Build).spread() // others keep away
 	depth := max(1, rate*r.s.FallTime.Seconds()/2)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
 	s.spentAt = r.now
@@ -308,9 +309,24 @@
 			r.trial.add(s, r.s.Zone)
 		}
 	}
+	r.base.some, r.trial.some = r.few(r.base.all), r.few(r.trial.all)
 	r.gate = r.coldGate(r.base)
 }
 
+// few picks the servers that a router without peers' news keeps to, by a hash of its own. Danger: an idle
+// router that meets a whole large fleet connects anew each time, and never learns which servers are silent.
+func (r *Router) few(group []*server) []*server {
+	n := max(fewLeast, int(r.rate*fewWithin))
+	if !r.alone || n >= len(group) {
+		return group
+	}
+	own := slices.Clone(group)
+	slices.SortFunc(own, func(a, b *server) int {
+		return cmp.Compare(hash(uint64(a.ID), uint64(r.s.Self)), hash(uint64(b.ID), uint64(r.s.Self)))
+	})
+	return own[:n]
+}
+
 // trialChance is the chance that a first request tries the build on trial: the design's share of the cap.
 // Exception, where the new machines are too few or too cold to carry that: their part of the fleet.
 func (r *Router) trialChance(c *class) float64 {
@@ -349,22 +365,16 @@
 }
 
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
-// loaded; suspects only where nothing else is left. Danger: where connecting takes too long, most attempts
-// would end there; then servers with an open connection come first.
+// loaded; suspects only where nothing else is left.
 func (r *Router) pick(g group, q *request) *server {
-	how := fit
-	if r.unconnected > connectHard && !q.draw { // those drawn would crowd the few new ones that are known
-		how = warm
+	a := cmp.Or(r.throw(g.some, q, false), r.throw(g.all, q, false))
+	suspects := a == nil && q.attempts == 0 // once only, else repeats storm where all refuse
+	if suspects {
+		a = r.throw(g.all, q, true)
 	}
-	a := r.throw(g.all, q, how)
-	for ; a == nil && how < suspect; a = r.throw(g.all, q, how) {
-		if how++; how == suspect && q.attempts > 0 {
-			return nil // once only, else repeats storm where all refuse
-		}
-	}
-	b := r.throw(g.all, q, how)
+	b := r.throw(g.some, q, suspects)
 	if r.rng.Float64() < nearLiking*r.s.CrossZoneCost {
-		b = cmp.Or(r.throw(g.near, q, how), b)
+		b = cmp.Or(r.throw(g.near, q, suspects), b)
 	}
 	if a == nil || b != nil && r.load(b) <= r.load(a) {
 		return b
@@ -372,16 +382,13 @@
 	return a
 }
 
-// throw draws a usable server by chance, in step with what each can do now, or where that fails some times
-// the next one after a random place. So a choice costs the same in a fleet of any size. Danger: routers with
-// little traffic see nothing in flight, and together would all prefer the largest and warmest.
-func (r *Router) throw(servers []*server, q *request, how usability) *server {
+// throw draws a usable server by chance in step with what each can do now, and searches if that fails. Danger
+// otherwise: routers that see nothing in flight would together all prefer the largest and warmest.
+func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
 	usable := func(s *server) bool {
 		well := s != q.server && s.until <= r.now
-		open := s.usedAt > 0 && r.now < s.usedAt+r.s.ConnIdle
 		let := r.ramp(s) >= 1 || q.luck < r.gate || q.draw && r.onTrial(s.Build) // through the gate
-		return (well || how == suspect) && (open || how != warm) && let && r.repeatOK(q, s) &&
-			r.coldRoom(s, false)
+		return (well || suspects) && let && r.repeatOK(q, s) && r.coldRoom(s, false)
 	}
 	for range min(throws, len(servers)) {
 		s := servers[r.rng.IntN(len(servers))]
@@ -423,8 +430,7 @@
 			return s
 		}
 	}
-	// Danger: a stale list names servers that have long gone. Where none of the ordinary build is fit, the
-	// build on trial serves within its cap.
+	// Danger: a stale list names servers long gone; where none is fit, the build on trial serves in its cap.
 	if r.fitOf(r.base) == 0 && r.fitOf(r.trial) > 0 && r.mayTry(r.trialID, q.class, false) {
 		return r.pick(r.trial, q)
 	}
@@ -449,9 +455,8 @@
 	if c == nil { // a class outside the settings is treated as the strictest
 		c = &class{Class: Class{Name: e.Class, Repeat: Unsafe, Aim: e.Left, Deadline: e.Left, Worth: 1}}
 	}
-	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth,
-		luck: r.rng.Float64()}
-	r.reqs[e.ID] = q
+	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, luck: r.rng.Float64()}
+	r.reqs[e.ID], q.order = q, c.Worth
 	r.arrived++
 	r.unserved += float64(count(e.Retry)) // of a request that was counted before
 	if t := r.tenants[e.Tenant]; t != nil {
@@ -530,10 +535,9 @@
 	s.inFlight--
 	r.inFlight--
 	s.usedAt = r.now * time.Duration(count(e.Outcome != ConnectFailed)) // 0: none is open
-	blend(&r.unconnected, symptomStep, float64(count(e.Outcome == ConnectFailed)))
 	if !q.overdue {
-		lost := e.Outcome == TimedOut || e.Outcome == Reset
-		blend(&r.lost[count(q.idle)], symptomStep, float64(count(lost)))
+		gone := count(e.Outcome == TimedOut || e.Outcome == Reset)
+		blend(&r.lost[count(q.idle)], symptomStep, float64(gone))
 	}
 	if r.now != r.woke { // Danger: a router that stood still finds its news late, and would blame others
 		r.judgeServer(s, q, e)
@@ -604,9 +608,9 @@
 	if q.sentTrial && len(r.base.all) > 0 {
 		return
 	}
-	late := e.Outcome == Rejected || e.Outcome == TimedOut || e.Outcome == OK && e.Took > q.class.Aim*8/10
-	r.answers, r.late = r.answers+1, r.late+float64(count(late))
-	blend(&r.lateness, symptomStep, float64(count(late)))
+	late := count(e.Outcome == Rejected || e.Outcome == TimedOut || e.Took > q.class.Aim*8/10)
+	r.answers, r.late = r.answers+1, r.late+float64(late)
+	blend(&r.lateness, symptomStep, float64(late))
 }
 
 // again tries a request once more where its class permits it, or gives the final answer at once.
@@ -658,8 +662,7 @@
 	r.answers, r.late = 0, 0
 }
 
-// hold queues a request, dearest first. Danger: a client may leave so little time that no tick comes in
-// between; such a request is answered at once.
+// hold queues a request, dearest first. Danger: no tick may come in what time its client leaves; end it then.
 func (r *Router) hold(q *request) {
 	if r.deadlineNear(q) {
 		r.finish(q)
@@ -712,8 +715,8 @@
 
 // second judges an error by how the request fared at another server: where it failed there too, the request
 // is at fault and does not count. Danger: requests that fail anywhere pass for a burst, and for a bad build.
-// Nor does one that a second try could judge and has not (o nil), or where most errors are the requests' own.
-// It hurts where a build fails nearly all of a class after its release: fewer of its errors count.
+// Nor does one that a second try could judge and has not (o nil), or where most are the requests' own. It
+// hurts where a build fails nearly all of a class after its release: fewer of its errors count.
 func (r *Router) second(q *request, o *Outcome) {
 	if q.first.Err == 0 {
 		return
@@ -875,8 +878,8 @@
 func (r *Router) votersOf(b BuildID) []int {
 	first := make([]int, 0, voters+1)
 	for i := range r.s.Peers {
-		at, _ := slices.BinarySearchFunc(first, voterHash(b, i), func(have int, h uint64) int {
-			return cmp.Compare(voterHash(b, have), h)
+		at, _ := slices.BinarySearchFunc(first, hash(uint64(b), uint64(i)), func(have int, h uint64) int {
+			return cmp.Compare(hash(uint64(b), uint64(have)), h)
 		})
 		first = slices.Insert(first, at, i)
 		first = first[:min(voters, len(first))]
@@ -884,8 +887,8 @@
 	return first
 }
 
-func voterHash(b BuildID, peer int) uint64 {
-	x := uint64(b)<<32 + uint64(peer) + 0x9e3779b97f4a7c15
+func hash(a, b uint64) uint64 {
+	x := a<<32 + b + 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
@@ -912,12 +915,9 @@
 		}
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
-		if was.Build != e.Build || !known {
-			r.voters = r.votersOf(e.Build)
-			r.total, r.usual = Counts{}, 0
-			if known { // what was usual is not known after a restart
-				r.usual = max(r.demand, 0.01)
-			}
+		if was.Build != e.Build || !known { // what was usual is not known after a restart
+			r.voters, r.total = r.votersOf(e.Build), Counts{}
+			r.usual = max(r.demand, 0.01) * float64(count(known))
 			r.setMarks()
 		}
 		r.counts, r.vote, r.stageAt = Counts{}, voteState{}, r.now-e.Age
@@ -991,9 +991,11 @@
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual, before := r.pooledDemand()
-	hard := r.unconnected > connectHard || r.connectsSlow()
-	r.vote.busy = r.vote.busy || hard || demand >= busyDemand*usual // the stage's counts hold another cause
-	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
+	if old := stage.Old; r.rel.Stage == 0 && old.Timed >= horizon { // too early to be the build's doing
+		r.slowEarly = share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
+	}
+	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual // counts hold another cause
+	if !wide || r.vote.busy || r.slowEarly || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
 	for _, now := range []Arm{stage.Old, stage.New} {
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,6 @@
 	lateness                float64       // part of answers of the ordinary build that came late
 	slowness                [2]float64    // time of answers as a part of the aim: on open connections, on new ones
 	served, carried         float64       // requests served since the last tick; a second, over a longer time
-	unconnected             float64       // part of attempts that found no connection
 	lost                    [2]float64    // part of attempts that got no answer: others, those on idle connections
 	tickDue, woke           time.Duration // next tick; the last wake-up that came late
 
@@ -60,6 +59,7 @@
 	stageAt, listedAt time.Duration  // stage learned of; its newest machine listed
 	reportAt, shareAt time.Duration  // next messages
 	vote              voteState
+	slowEarly         bool // the old build was slow in the first stage already
 }
 
 // New starts a router that knows its settings only.
@@ -128,8 +128,11 @@
 	spent                 float64       // cold budget used, in requests
 }
 
-// group is the servers of one build, by id, and those of them in the router's own zone.
-type group struct{ all, near []*server }
+// group is the servers of one build, by id, those of them in the router's own zone, and those it keeps to.
+type group struct{ all, near, some []*server }
+
+// spread tells how many times as many servers there are as the router keeps to.
+func (g group) spread() float64 { return float64(len(g.all)) / float64(max(1, len(g.some))) }
 
 func (g *group) add(s *server, zone string) {
 	g.all = append(g.all, s)
@@ -178,15 +181,6 @@
 	}
 }
 
-// usability tells which servers may be thrown for.
-type usability int
-
-const (
-	warm    usability = iota // fit ones with an open connection
-	fit                      // those not suspect
-	suspect                  // all
-)
-
 // blend moves a smoothed value a step towards what was seen.
 func blend(x *float64, step, seen float64) { *x += step * (seen - *x) }
 
