--- a/logic/logic.go
+++ b/logic/logic.go
@@ -455,8 +455,8 @@
 	if c == nil { // a class outside the settings is treated as the strictest
 		c = &class{Class: Class{Name: e.Class, Repeat: Unsafe, Aim: e.Left, Deadline: e.Left, Worth: 1}}
 	}
-	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, luck: r.rng.Float64()}
-	r.reqs[e.ID], q.order = q, c.Worth
+	q := &request{RequestArrived: e, class: c, arrived: r.now, deadline: r.now + e.Left, order: c.Worth}
+	r.reqs[e.ID], q.luck = q, r.rng.Float64()
 	r.arrived++
 	r.unserved += float64(count(e.Retry)) // of a request that was counted before
 	if t := r.tenants[e.Tenant]; t != nil {
