--- a/logic/logic.go
+++ b/logic/logic.go
@@ -991,7 +991,7 @@
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual, before := r.pooledDemand()
-	if old := stage.Old; r.rel.Stage == 0 && old.Timed >= horizon { // too early to be the build's doing
+	if old := stage.Old; r.rel.Stage == 0 && !wide && old.Timed >= horizon { // too early to be the build
 		r.slowEarly = share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
 	}
 	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual // counts hold another cause
