--- a/logic/logic.go
+++ b/logic/logic.go
@@ -916,7 +916,7 @@
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
 		if was.Build != e.Build || !known { // what was usual is not known after a restart
-			r.voters, r.total = r.votersOf(e.Build), Counts{}
+			r.voters, r.total, r.slowEarly = r.votersOf(e.Build), Counts{}, false
 			r.usual = max(r.demand, 0.01) * float64(count(known))
 			r.setMarks()
 		}
@@ -991,10 +991,10 @@
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual, before := r.pooledDemand()
-	if old := stage.Old; r.rel.Stage == 0 && !wide && old.Timed >= horizon { // too early to be the build
-		r.slowEarly = share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
+	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual           // counts hold another cause
+	if old := stage.Old; r.rel.Cap < fleetCap/2 && !r.vote.busy && old.Timed >= horizon { // too early
+		r.slowEarly = r.slowEarly || share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
 	}
-	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual // counts hold another cause
 	if !wide || r.vote.busy || r.slowEarly || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
