--- a/logic/logic.go
+++ b/logic/logic.go
@@ -991,8 +991,8 @@
 func (r *Router) slowed(stage Counts) bool {
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual, before := r.pooledDemand()
-	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual           // counts hold another cause
-	if old := stage.Old; r.rel.Cap < fleetCap/2 && !r.vote.busy && old.Timed >= horizon { // too early
+	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual // counts hold another cause
+	if old := stage.Old; r.rel.Cap < fleetCap/2 && !r.vote.busy && old.Timed >= horizon {
 		r.slowEarly = r.slowEarly || share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
 	}
 	if !wide || r.vote.busy || r.slowEarly || max(stage.Old.Timed, stage.New.Timed) < horizon {
