--- a/logic/logic.go
+++ b/logic/logic.go
@@ -916,7 +916,7 @@
 	}
 	if !known || was.Build != e.Build || was.Stage != e.Stage || was.Phase != e.Phase {
 		if was.Build != e.Build || !known { // what was usual is not known after a restart
-			r.voters, r.total, r.slowEarly = r.votersOf(e.Build), Counts{}, false
+			r.voters, r.total, r.slowEarly = r.votersOf(e.Build), Counts{}, 1-slowPart
 			r.usual = max(r.demand, 0.01) * float64(count(known))
 			r.setMarks()
 		}
@@ -992,14 +992,14 @@
 	wide := r.rel.Cap >= fleetCap && (r.rel.Phase == OnTrial || r.now < r.stageAt+fleetTime)
 	demand, usual, before := r.pooledDemand()
 	r.vote.busy = r.vote.busy || r.connectsSlow() || demand >= busyDemand*usual // counts hold another cause
-	if old := stage.Old; r.rel.Cap < fleetCap/2 && !r.vote.busy && old.Timed >= horizon {
-		r.slowEarly = r.slowEarly || share(old.Slow, old.Timed) > 1-slowPart+fleetMargin
+	if old := stage.Old; r.rel.Stage == 0 && !wide && !r.vote.busy && old.Timed >= horizon {
+		r.slowEarly = max(1-slowPart, share(old.Slow, old.Timed)) // not the build's doing yet
 	}
-	if !wide || r.vote.busy || r.slowEarly || max(stage.Old.Timed, stage.New.Timed) < horizon {
+	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
 	for _, now := range []Arm{stage.Old, stage.New} {
-		slow := uint32((1 - slowPart) * float64(before))
+		slow := uint32(r.slowEarly * float64(before))
 		if now.Timed >= horizon && (share(now.Miss, now.N) < fleetMiss || // slow, but still in time
 			share(now.Slow, now.Timed) <= share(slow, before)+fleetMargin ||
 			harm(r.rng, before, slow, now.Timed, now.Slow, fleetMargin) >= level) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,7 +59,7 @@
 	stageAt, listedAt time.Duration  // stage learned of; its newest machine listed
 	reportAt, shareAt time.Duration  // next messages
 	vote              voteState
-	slowEarly         bool // the old build was slow while the new one had little traffic
+	slowEarly         float64 // part of slow answers while the new build had next to no traffic
 }
 
 // New starts a router that knows its settings only.
