--- a/logic/logic.go
+++ b/logic/logic.go
@@ -587,8 +587,7 @@
 	r.lost[1] *= lostFade
 }
 
-// connectsSlow tells that answers on new connections come much later than on open ones. Danger: new servers
-// pass for a bad build, since all connections to them are new.
+// connectsSlow tells that answers on new connections come much later: new servers would pass for a bad build.
 func (r *Router) connectsSlow() bool {
 	return r.slowness[0] > 0 && r.slowness[1] > r.slowness[0]+connectSlow
 }
@@ -705,8 +704,9 @@
 		q.sentRel.Build != r.rel.Build {
 		return
 	}
+	timed := c.mark > 0 && !q.connects // connecting is no work of the build's
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
-		Timed: count(c.mark > 0), Slow: count(c.mark > 0 && took > c.mark)}
+		Timed: count(timed), Slow: count(timed && took > c.mark)}
 	q.first = first{one, q.to.Build, q.sentRel}
 	if one.Err == 0 {
 		r.tally(q)
