--- a/logic/logic.go
+++ b/logic/logic.go
@@ -704,7 +704,7 @@
 		q.sentRel.Build != r.rel.Build {
 		return
 	}
-	timed := c.mark > 0 && !q.connects // connecting is no work of the build's
+	timed := c.mark > 0 && !(r.alone && q.connects) // met anew at nearly all requests
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
 		Timed: count(timed), Slow: count(timed && took > c.mark)}
 	q.first = first{one, q.to.Build, q.sentRel}
