--- /dev/null
+++ b/internal/clients/server.go
@@ -0,0 +1,169 @@
+// Package clients is the router's side towards clients: net/http's server, bad input turned down, requests
+// handed to the decisions, and one final answer for each.
+package clients
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/exchange"
+	"merlinarch/internal/metrics"
+	"merlinarch/logic"
+)
+
+// Gateway takes requests and finishes their exchanges.
+type Gateway interface {
+	Submit(*exchange.Exchange) error
+	Left(*exchange.Exchange)
+}
+
+// Server serves clients.
+type Server struct {
+	limits  config.Limits
+	reader  *reader
+	gateway Gateway
+	count   *metrics.Registry
+	log     *zap.Logger
+	http    *http.Server
+	conns   *conns
+	open    atomic.Int64
+}
+
+// New makes a server; Serve starts it.
+func New(limits config.Limits, s logic.Settings, g Gateway, count *metrics.Registry, log *zap.Logger) *Server {
+	srv := &Server{limits: limits, reader: newReader(limits, s), gateway: g, count: count, log: log,
+		conns: newConns(limits, count)}
+	errors, _ := zap.NewStdLogAt(log, zap.DebugLevel) // the level exists
+	// Danger: any time-out here could cut a request that the kernel has taken; none is set.
+	srv.http = &http.Server{Handler: srv, MaxHeaderBytes: limits.MaxHead, ErrorLog: errors,
+		ConnState: srv.conns.state}
+	return srv
+}
+
+// Serve takes connections until Drain.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(&listener{l, s.conns}); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve clients: %w", err)
+	}
+	return nil
+}
+
+// Drain ends serving without losing a request: it goes on as before while new connections may still come,
+// then ends connections between requests, then waits for what was taken.
+func (s *Server) Drain() error {
+	time.Sleep(s.limits.DrainTaking)
+	s.http.SetKeepAlivesEnabled(false)
+	time.Sleep(s.limits.DrainClosing - s.limits.DrainTaking)
+	ctx, stop := context.WithTimeout(context.Background(), s.limits.DrainLast)
+	defer stop()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("finish what was taken: %w", err)
+	}
+	return nil
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathReady {
+		s.send(w, time.Now().Add(s.limits.WriteExtra), http.StatusOK, nil)
+		return
+	}
+	s.count.Inc("requests.taken")
+	defer s.open.Add(-1)
+	full := s.open.Add(1) > int64(s.limits.MaxOpen)
+	m, f, wait, wrong := s.reader.head(r)
+	if wrong == nil && (full || s.conns.crowded(r.RemoteAddr)) {
+		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
+		// sent for this request, so a refusal is in order whatever its class.
+		s.count.Inc("requests.refused_full")
+		w.Header().Set("Connection", "close")
+		s.answer(w, exchange.Answer{Status: exchange.Refused}, time.Now().Add(wait))
+		return
+	}
+	if wrong == nil {
+		m.Body, wrong = s.reader.body(w, r, wait)
+	}
+	until := time.Now().Add(wait) // a request's time runs from its last byte
+	if wrong != nil {
+		s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
+		s.send(w, until, wrong.status, []byte(wrong.text+"\n"))
+		return
+	}
+	if s.conns.wanted() {
+		w.Header().Set("Connection", "close")
+	}
+	s.answer(w, s.wait(r.Context(), m, f, until), until)
+}
+
+// wait gets the final answer. Danger: a host, the loop or the decisions may hang; the node itself answers
+// before the client's time is over.
+func (s *Server) wait(gone context.Context, m exchange.Message, f exchange.Fields, until time.Time) exchange.Answer {
+	ex := exchange.New(m, f, until.Add(-s.limits.AnswerMargin))
+	if err := s.gateway.Submit(ex); err != nil {
+		return exchange.Answer{Status: exchange.Refused} // nothing was sent for it
+	}
+	last := time.NewTimer(time.Until(until) - s.limits.LastMargin)
+	defer last.Stop()
+	left := gone.Done()
+	for {
+		select {
+		case <-ex.Done():
+			return ex.Answer()
+		case <-left:
+			s.count.Inc("requests.client_left")
+			s.gateway.Left(ex)
+			left = nil
+		case <-last.C:
+			if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
+				s.count.Inc("requests.answered_by_node")
+				s.gateway.Left(ex)
+			}
+		}
+	}
+}
+
+// answer writes the final answer, whole.
+func (s *Server) answer(w http.ResponseWriter, a exchange.Answer, until time.Time) {
+	status := http.StatusBadGateway
+	switch a.Status {
+	case exchange.Served:
+		status = http.StatusOK
+		s.count.Inc("answers.served")
+	case exchange.Refused:
+		status = http.StatusServiceUnavailable
+		s.count.Inc("answers.refused")
+		if a.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
+		}
+	case exchange.TimedOut:
+		status = http.StatusGatewayTimeout
+		s.count.Inc("answers.timed_out")
+	default:
+		s.count.Inc("answers.failed")
+	}
+	s.send(w, until, status, a.Body)
+}
+
+// send writes an answer whole. Danger: a client that doesn't read would hold a connection and memory for
+// ever; it is cut off some time after it has stopped waiting, and never sooner.
+func (s *Server) send(w http.ResponseWriter, until time.Time, status int, body []byte) {
+	out := http.NewResponseController(w)
+	err := out.SetWriteDeadline(until.Add(s.limits.WriteExtra))
+	w.Header()["Content-Type"] = nil // the host's type is not known, and none is to be guessed
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, writeErr := w.Write(body)
+	// The deadline is taken back for the connection's next request.
+	if err := errors.Join(err, writeErr, out.Flush(), out.SetWriteDeadline(time.Time{})); err != nil {
+		s.count.Inc("answers.broken")
+	}
+}
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"merlinarch/logic"
+)
+
+// Limits holds the sizes, counts and times of this node, derived once from the limits that it is told and
+// the settings, and handed down. None of them decides where a request goes or how it ends.
+type Limits struct {
+	Cores       int   // processors that Go may use
+	MemoryBytes int64 // soft limit of Go's memory
+
+	MaxBody      int // bytes of a body, either way
+	MaxHead      int // bytes of a head, either way
+	MaxLine      int // bytes of a line of the platform
+	MaxList      int // bytes of a line of discovery
+	MaxDatagram  int // bytes of a message between routers
+	MaxIDLength  int // bytes of a client's id or key
+	MaxEvents    int // events that wait for the loop
+	MaxOpen      int // requests held at a time
+	ClientConns  int // connections from clients
+	ServerConns  int // connections to servers
+	WantedSpare  int // connections from clients kept in hand: beyond, answers close theirs
+	MinSockets   int // below this the node can't serve
+	MaxOutgoing  int // messages and votes that wait to be written
+	MaxPerServer int // idle connections kept to one server
+
+	MaxWait      time.Duration // the longest time that a client may say it waits
+	AnswerMargin time.Duration // before a client's time is over, the decisions' time is
+	LastMargin   time.Duration // before a client's time is over, the node answers by itself
+	WriteExtra   time.Duration // beyond a client's time, a slow reader is cut off
+	DialTimeout  time.Duration // for a connection to a server
+	ProbeTimeout time.Duration // for a probe of a server
+	ServerIdle   time.Duration // idle connections to servers are closed after this
+	SendGrace    time.Duration // a send decided before a drain or a lower cap may leave so long after it
+	PeerDial     time.Duration // for a connection to discovery or the platform
+	ListSilence  time.Duration // a watch of discovery silent for longer is broken
+	NewsSilence  time.Duration // a connection to the platform silent for longer is broken
+	VoteTimeout  time.Duration // a vote unanswered for longer may count
+	RetryFirst   time.Duration // pause before connecting anew, then twice, ...
+	RetryLast    time.Duration
+	DrainTaking  time.Duration // after SIGTERM: go on as before
+	DrainClosing time.Duration // then end connections between requests until this
+	DrainLast    time.Duration // then finish what was taken, at the longest
+}
+
+// Told is what the deployment says this node may use.
+type Told struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+	Dial     time.Duration // the settings' time-out for connections to servers; zero: none
+}
+
+const (
+	mebibyte     = 1 << 20
+	reserved     = 24        // descriptors: standard streams, poller, listeners, discovery, platform, spare
+	requestBytes = 192 << 10 // a body, an answer, buffers and stacks of a request at the most
+	leastMemory  = 24
+	leastSockets = 40
+)
+
+// newLimits derives the limits.
+func newLimits(told Told, s logic.Settings) (Limits, error) {
+	if told.Cores <= 0 || told.MemoryMB < leastMemory || told.Sockets < leastSockets {
+		return Limits{}, fmt.Errorf("limits: cores %g, memory_mb %d, sockets %d: needs more than 0, %d and %d",
+			told.Cores, told.MemoryMB, told.Sockets, leastMemory, leastSockets)
+	}
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	free := told.Sockets - reserved
+	l := Limits{
+		Cores: max(1, int(told.Cores)), MemoryBytes: int64(told.MemoryMB) * mebibyte * 7 / 10,
+		MaxBody: 64 << 10, MaxHead: 16 << 10, MaxLine: 8 << 10, MaxList: 8 << 20, MaxDatagram: 256,
+		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
+		MaxOpen:     max(8, told.MemoryMB*mebibyte/2/requestBytes),
+		ServerConns: free * 2 / 5, ClientConns: free - free*2/5, MinSockets: leastSockets,
+		MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
+		WriteExtra: time.Second, 
+		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
+		SendGrace: s.DrainGrace * 7 / 10,
+		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
+		VoteTimeout: s.Rollout.VoteTimeout, RetryFirst: 100 * time.Millisecond, RetryLast: 2 * time.Second,
+		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
+		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
+	}
+	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
+	if l.DialTimeout <= 0 {
+		l.DialTimeout, l.ProbeTimeout = time.Second, time.Second
+	}
+	if l.ServerIdle <= 0 {
+		l.ServerIdle = 10 * time.Second
+	}
+	if l.VoteTimeout <= 0 {
+		l.VoteTimeout = time.Second
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,95 @@
+package discovery
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+
+	"github.com/valyala/fastjson"
+
+	"merlinarch/internal/gateway"
+	"merlinarch/logic"
+)
+
+// Names of this deployment in discovery's lists.
+const (
+	pathList      = "/api/targets"
+	queryWatch    = "watch"
+	queryAfter    = "from"
+	fieldVersion  = "seq"
+	fieldFull     = "whole"
+	fieldList     = "hosts"
+	fieldID       = "host"
+	fieldAddr     = "dial"
+	fieldZone     = "site"
+	fieldCell     = "block"
+	fieldState    = "health"
+	fieldWeight   = "share"
+	fieldStarted  = "born_ms"
+	fieldBuild    = "build"
+	highestBuild  = 1 << 16
+	longestString = 256
+)
+
+var states = map[string]logic.ServerState{"up": logic.Ready, "draining": logic.Draining, "removed": logic.Gone}
+
+// List is the whole list or the changes since an earlier one.
+type List struct {
+	Version uint64
+	Full    bool
+	Hosts   []gateway.Host
+	Skipped int // entries that can't be used
+}
+
+// Decode reads a list. Entries without id, address or known state are skipped.
+func Decode(v *fastjson.Value, clock gateway.Clock) (List, error) {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		return List{}, errors.New("list is not an object")
+	}
+	version := v.Get(fieldVersion)
+	if version == nil {
+		return List{}, errors.New("list has no version")
+	}
+	n, err := version.Uint64()
+	if err != nil {
+		return List{}, fmt.Errorf("list's version: %w", err)
+	}
+	entries := v.Get(fieldList)
+	if entries == nil || entries.Type() != fastjson.TypeArray {
+		return List{}, errors.New("list has no entries")
+	}
+	l := List{Version: n, Full: v.GetBool(fieldFull)}
+	for _, e := range entries.GetArray() {
+		if h, ok := decodeHost(e, clock); ok {
+			l.Hosts = append(l.Hosts, h)
+		} else {
+			l.Skipped++
+		}
+	}
+	return l, nil
+}
+
+func decodeHost(e *fastjson.Value, clock gateway.Clock) (gateway.Host, bool) {
+	id, addr := e.GetStringBytes(fieldID), string(e.GetStringBytes(fieldAddr))
+	state, known := states[string(e.GetStringBytes(fieldState))]
+	build, weight := e.GetInt(fieldBuild), 1.0
+	if e.Exists(fieldWeight) {
+		weight = e.GetFloat64(fieldWeight)
+	}
+	_, _, err := net.SplitHostPort(addr)
+	if len(id) == 0 || len(id) > longestString || !known || err != nil && state != logic.Gone ||
+		build < 0 || build >= highestBuild || weight < 0 {
+		return gateway.Host{}, false
+	}
+	return gateway.Host{Addr: addr, Server: logic.Server{ID: ServerID(string(id)),
+		Zone: string(e.GetStringBytes(fieldZone)), Build: logic.BuildID(build), Cell: e.GetInt(fieldCell),
+		State: state, Weight: weight, Started: clock.FromUnix(e.GetFloat64(fieldStarted))}}, true
+}
+
+// ServerID is a number for a host's id, the same at every router.
+func ServerID(id string) logic.ServerID {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return logic.ServerID(h.Sum64())
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,384 @@
+// Package gateway runs the decision module: one goroutine owns it, takes events in through a channel, and
+// hands its actions to the packages that speak with the router's peers. It decides nothing itself.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/exchange"
+	"merlinarch/internal/metrics"
+	"merlinarch/logic"
+)
+
+// Host is a server as discovery lists it, and where it listens.
+type Host struct {
+	logic.Server
+	Addr string
+}
+
+// Attempt is one try of a request at a server.
+type Attempt struct {
+	Exchange *exchange.Exchange
+	Server   logic.ServerID
+	Decided  time.Time // when the module asked for it
+	Deadline time.Time // when the wait for its outcome ends
+	// Report is called exactly once, with how it ended, never from Start itself.
+	Report func(Result)
+}
+
+// Result tells how an attempt or a probe ended, and what came back.
+type Result struct {
+	Outcome logic.Outcome
+	Body    []byte
+	Load    *logic.Load
+	Ended   time.Time // when that was seen
+}
+
+// Servers is the server side. None of its methods may block.
+type Servers interface {
+	Listed(full bool, hosts []Host)
+	// Start begins an attempt; the function it returns gives the attempt up.
+	Start(Attempt) (cancel func())
+	Probe(server logic.ServerID, report func(Result))
+	CloseIdle(server logic.ServerID)
+	// Recall voids sends to servers of a build that were decided before now and are later than the grace.
+	Recall(build logic.BuildID)
+}
+
+// Platform takes votes; Vote must not block.
+type Platform interface{ Vote(logic.Vote) }
+
+// Peers takes messages for other routers; Post must not block.
+type Peers interface{ Post(logic.Post) }
+
+// Parts is what the gateway hands actions to.
+type Parts struct {
+	Servers  Servers
+	Platform Platform
+	Peers    Peers
+}
+
+// Clock is monotonic time from one origin. Unix times are mapped to it once, at the origin.
+type Clock struct{ origin time.Time }
+
+// NewClock starts a clock; its time begins above zero, since zero means 'never' or 'long ago' to the module.
+func NewClock() Clock { return Clock{time.Now().Add(-time.Hour)} }
+
+// Now is the time since the origin.
+func (c Clock) Now() time.Duration { return time.Since(c.origin) }
+
+// At is a moment's time since the origin.
+func (c Clock) At(t time.Time) time.Duration { return t.Sub(c.origin) }
+
+// FromUnix maps a Unix time in milliseconds; zero, long ago, stays zero.
+func (c Clock) FromUnix(ms float64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	at := time.Duration(ms*1000)*time.Microsecond - time.Duration(c.origin.UnixNano())
+	if at == 0 {
+		return 1
+	}
+	return at
+}
+
+// call is a request that the module knows of.
+type call struct {
+	ex       *exchange.Exchange
+	attempts int
+	sentAt   time.Time
+	server   logic.ServerID
+	out      bool // an attempt is out
+	gone     bool // its client has left or been answered by the node
+	cancel   func()
+}
+
+// Events of the node itself.
+type (
+	arrived   struct{ ex *exchange.Exchange }
+	left      struct{ ex *exchange.Exchange }
+	attempted struct {
+		id      logic.RequestID
+		attempt int
+		result  Result
+	}
+	probed struct {
+		server logic.ServerID
+		sentAt time.Time
+		result Result
+	}
+	listed struct {
+		event logic.ServersListed
+		hosts []Host
+	}
+)
+
+// Gateway is the loop round the module.
+type Gateway struct {
+	router *logic.Router
+	limits config.Limits
+	parts  Parts
+	clock  Clock
+	count  *metrics.Registry
+	log    *zap.Logger
+
+	events chan any
+	done   chan struct{}
+	timers timers
+	calls  map[logic.RequestID]*call
+	ids    map[*exchange.Exchange]logic.RequestID
+	serial uint64
+	last   logic.ReleaseStatus
+}
+
+// New makes a gateway round a router; Run starts it.
+func New(router *logic.Router, limits config.Limits, clock Clock, count *metrics.Registry, log *zap.Logger) *Gateway {
+	return &Gateway{router: router, limits: limits, clock: clock, count: count, log: log,
+		events: make(chan any, limits.MaxEvents), done: make(chan struct{}),
+		calls: map[logic.RequestID]*call{}, ids: map[*exchange.Exchange]logic.RequestID{}}
+}
+
+// ErrStopped tells that the loop has ended.
+var ErrStopped = errors.New("gateway stopped")
+
+// post puts an event before the loop. It waits while the loop is behind; the loop never waits for a poster.
+func (g *Gateway) post(e any) error {
+	select {
+	case g.events <- e:
+		return nil
+	case <-g.done:
+		return ErrStopped
+	}
+}
+
+// Submit hands a request to the module, which will finish the exchange.
+func (g *Gateway) Submit(ex *exchange.Exchange) error { return g.post(arrived{ex}) }
+
+// Left tells that a request's client has gone, or that the node has answered it by itself.
+func (g *Gateway) Left(ex *exchange.Exchange) { g.notify(left{ex}) }
+
+// Listed brings discovery's news.
+func (g *Gateway) Listed(full bool, hosts []Host) {
+	e := logic.ServersListed{Full: full}
+	for _, h := range hosts {
+		e.Servers = append(e.Servers, h.Server)
+	}
+	g.notify(listed{e, hosts})
+}
+
+// ListingFailed tells that the watch of discovery broke.
+func (g *Gateway) ListingFailed() { g.notify(logic.ServersListed{Failed: true}) }
+
+// Released brings the platform's news or its reply to a vote.
+func (g *Gateway) Released(e logic.ReleaseStatus) { g.notify(e) }
+
+// Heard brings another router's message.
+func (g *Gateway) Heard(e logic.PeerMessage) { g.notify(e) }
+
+// notify posts an event that is of no use to anybody once the loop has ended.
+func (g *Gateway) notify(e any) {
+	if g.post(e) != nil {
+		g.count.Inc("events.after_end")
+	}
+}
+
+// Run owns the module until ctx ends. Parts must be complete by then.
+func (g *Gateway) Run(ctx context.Context, parts Parts) {
+	defer close(g.done)
+	g.parts = parts
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		g.fire()
+		wake.Reset(g.timers.wait(g.clock.Now()))
+		select {
+		case e := <-g.events:
+			g.take(e)
+		case <-wake.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fire hands due timers to the module, before any event that waits. Danger: a tick over 0.1 s late passes
+// for a stall of the router, and its evidence is dropped; so nothing here dials, writes, parses or logs at
+// length, and the worst lateness is counted.
+func (g *Gateway) fire() {
+	for {
+		now := g.clock.Now()
+		t, ok := g.timers.due(now)
+		if !ok {
+			return
+		}
+		g.count.Worst("loop.worst_lateness_us", now-t.at)
+		if now-t.at > 100*time.Millisecond {
+			g.count.Inc("loop.late_ticks")
+		}
+		g.feed(logic.TimerFired{Token: t.token})
+	}
+}
+
+// feed gives the module one event and carries out what it asks.
+func (g *Gateway) feed(e logic.Event) {
+	// Handle's slice is valid until its next call; act never calls it.
+	for _, a := range g.router.Handle(g.clock.Now(), e) {
+		g.act(a)
+	}
+}
+
+// take translates one event of the node into the module's.
+func (g *Gateway) take(e any) {
+	switch e := e.(type) {
+	case arrived:
+		g.arrive(e.ex)
+	case left:
+		g.leave(e.ex)
+	case attempted:
+		g.outcome(e)
+	case probed:
+		g.feed(logic.ProbeDone{Server: e.server, Outcome: e.result.Outcome, Took: e.result.Ended.Sub(e.sentAt),
+			Load: e.result.Load})
+	case listed:
+		g.parts.Servers.Listed(e.event.Full, e.hosts) // first, so that sends find the addresses
+		g.feed(e.event)
+	case logic.ReleaseStatus:
+		g.release(e)
+	default:
+		g.feed(e)
+	}
+}
+
+// arrive gives a request its serial. Danger: a client's id may come twice, even while the first is out.
+func (g *Gateway) arrive(ex *exchange.Exchange) {
+	g.serial++
+	id := requestID(g.serial)
+	g.calls[id], g.ids[ex] = &call{ex: ex}, id
+	f := ex.Fields
+	g.feed(logic.RequestArrived{ID: id, Class: f.Class, Tenant: f.Tenant, Key: f.Key, HasKey: f.HasKey,
+		Left: max(0, time.Until(ex.Deadline)), Hint: f.Hint, Retry: f.Retry})
+}
+
+// leave tells the module that a request has ended without its doing. An attempt that is out may still bring
+// an answer for a client that has only stopped sending; where none is, such a client is told at once.
+func (g *Gateway) leave(ex *exchange.Exchange) {
+	id, ok := g.ids[ex]
+	if !ok {
+		return
+	}
+	c := g.calls[id]
+	c.gone = true
+	g.feed(logic.ClientGone{ID: id})
+	if !c.out {
+		ex.Finish(exchange.Answer{Status: exchange.Failed})
+		g.drop(id, c)
+	}
+}
+
+// outcome gives the module the end of an attempt. An answer is the client's at once.
+func (g *Gateway) outcome(e attempted) {
+	c := g.calls[e.id]
+	if c == nil || !c.out || e.attempt != c.attempts-1 {
+		g.count.Inc("loop.stray_outcomes")
+		return
+	}
+	c.out, c.cancel = false, nil
+	g.count.Inc("attempts." + outcomeName(e.result.Outcome))
+	final := e.result.Outcome == logic.OK || c.gone || c.ex.Ended()
+	switch {
+	case e.result.Outcome == logic.OK:
+		c.ex.Finish(exchange.Answer{Status: exchange.Served, Body: e.result.Body})
+	case final:
+		c.ex.Finish(exchange.Answer{Status: exchange.Failed})
+	}
+	g.feed(logic.AttemptDone{ID: e.id, Outcome: e.result.Outcome, Took: e.result.Ended.Sub(c.sentAt),
+		Server: c.server, Attempt: e.attempt, Final: final, Load: e.result.Load})
+	if final {
+		g.drop(e.id, c)
+	}
+}
+
+// release passes on the platform's news. Sends to a build whose share has fallen must not leave late.
+func (g *Gateway) release(e logic.ReleaseStatus) {
+	if !e.IsReply || e.Reply == logic.VoteCounts {
+		if e.Build == g.last.Build && e.Cap < g.last.Cap {
+			g.parts.Servers.Recall(e.Build)
+		}
+		g.last = e
+	}
+	g.feed(e)
+}
+
+// drop forgets a request that has its answer and no attempt out.
+func (g *Gateway) drop(id logic.RequestID, c *call) {
+	delete(g.calls, id)
+	delete(g.ids, c.ex)
+}
+
+// act carries out one action of the module.
+func (g *Gateway) act(a logic.Action) {
+	switch a := a.(type) {
+	case logic.Send:
+		g.send(a)
+	case logic.Cancel:
+		if c := g.calls[a.ID]; c != nil && c.out && a.Attempt == c.attempts-1 {
+			c.cancel()
+		}
+	case logic.Close:
+		g.parts.Servers.CloseIdle(a.Server)
+	case logic.Refuse:
+		g.finish(a.ID, exchange.Answer{Status: exchange.Refused, RetryAfter: a.RetryAfter})
+	case logic.Fail:
+		g.finish(a.ID, exchange.Answer{Status: exchange.Failed})
+	case logic.SetTimer:
+		g.timers.set(g.clock.Now()+a.After, a.Token)
+	case logic.Probe:
+		sentAt := time.Now()
+		g.parts.Servers.Probe(a.Server, func(r Result) { g.notify(probed{a.Server, sentAt, r}) })
+	case logic.Post:
+		g.parts.Peers.Post(a)
+	case logic.Vote:
+		g.parts.Platform.Vote(a)
+	case logic.Watch: // the watch of discovery always stands or is being renewed
+	case logic.Log:
+		g.log.Info(a.Text)
+	default:
+		g.count.Inc("loop.unknown_actions")
+	}
+}
+
+// send starts the module's next attempt.
+func (g *Gateway) send(a logic.Send) {
+	c := g.calls[a.ID]
+	if c == nil || c.out {
+		g.count.Inc("loop.stray_sends")
+		return
+	}
+	now := time.Now()
+	c.attempts, c.sentAt, c.server, c.out = c.attempts+1, now, a.Server, true
+	deadline := c.ex.Deadline
+	if a.Timeout > 0 && now.Add(a.Timeout).Before(deadline) {
+		deadline = now.Add(a.Timeout)
+	}
+	n := c.attempts - 1
+	g.count.Inc("attempts.sent")
+	c.cancel = g.parts.Servers.Start(Attempt{Exchange: c.ex, Server: a.Server, Decided: now, Deadline: deadline,
+		Report: func(r Result) { g.notify(attempted{a.ID, n, r}) }})
+}
+
+// finish gives the module's final answer.
+func (g *Gateway) finish(id logic.RequestID, answer exchange.Answer) {
+	c := g.calls[id]
+	if c == nil {
+		return
+	}
+	c.ex.Finish(answer)
+	if c.gone = true; !c.out {
+		g.drop(id, c)
+	}
+}
--- /dev/null
+++ b/internal/gateway/timers.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"container/heap"
+	"strconv"
+	"time"
+
+	"merlinarch/logic"
+)
+
+// timer is one that the module has set.
+type timer struct {
+	at    time.Duration
+	order uint64 // of setting, among timers of one time
+	token uint64
+}
+
+// timers is a queue of timers by time. It implements heap.Interface.
+type timers struct {
+	list []timer
+	next uint64
+}
+
+func (t *timers) Len() int { return len(t.list) }
+func (t *timers) Less(i, j int) bool {
+	a, b := t.list[i], t.list[j]
+	return a.at < b.at || a.at == b.at && a.order < b.order
+}
+func (t *timers) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
+func (t *timers) Push(x any)    { t.list = append(t.list, x.(timer)) }
+func (t *timers) Pop() any {
+	last := t.list[len(t.list)-1]
+	t.list = t.list[:len(t.list)-1]
+	return last
+}
+
+// set adds a timer.
+func (t *timers) set(at time.Duration, token uint64) {
+	t.next++
+	heap.Push(t, timer{at, t.next, token})
+}
+
+// due takes the first timer whose time has come.
+func (t *timers) due(now time.Duration) (timer, bool) {
+	if len(t.list) == 0 || t.list[0].at > now {
+		return timer{}, false
+	}
+	return heap.Pop(t).(timer), true
+}
+
+// wait is how long nothing is due.
+func (t *timers) wait(now time.Duration) time.Duration {
+	if len(t.list) == 0 {
+		return time.Hour
+	}
+	return max(0, t.list[0].at-now)
+}
+
+// requestID names a request by this process's own serial.
+func requestID(serial uint64) logic.RequestID { return logic.RequestID(strconv.FormatUint(serial, 36)) }
+
+var outcomeNames = map[logic.Outcome]string{logic.OK: "ok", logic.ServerError: "server_error",
+	logic.Rejected: "rejected", logic.TimedOut: "timed_out", logic.ConnectFailed: "connect_failed",
+	logic.Reset: "reset", logic.Cancelled: "cancelled", logic.NotSent: "not_sent"}
+
+// outcomeName is an outcome's name in counters.
+func outcomeName(o logic.Outcome) string { return outcomeNames[o] }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,72 @@
+// Package metrics counts what the router takes in, sends and answers, by outcome.
+package metrics
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Registry holds all counters by name.
+type Registry struct {
+	mu    sync.RWMutex
+	count map[string]*atomic.Int64
+}
+
+// New makes an empty registry.
+func New() *Registry { return &Registry{count: map[string]*atomic.Int64{}} }
+
+// at finds a counter, or makes it.
+func (r *Registry) at(name string) *atomic.Int64 {
+	r.mu.RLock()
+	c := r.count[name]
+	r.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.count[name] == nil {
+		r.count[name] = new(atomic.Int64)
+	}
+	return r.count[name]
+}
+
+// Add counts n more of a kind; names are fixed texts, "what.outcome", never taken from a peer.
+func (r *Registry) Add(name string, n int64) { r.at(name).Add(n) }
+
+// Inc counts one more.
+func (r *Registry) Inc(name string) { r.Add(name, 1) }
+
+// Worst keeps the longest time seen, in microseconds, under a name ending in "_us".
+func (r *Registry) Worst(name string, d time.Duration) {
+	c := r.at(name)
+	for {
+		have := c.Load()
+		if d.Microseconds() <= have || c.CompareAndSwap(have, d.Microseconds()) {
+			return
+		}
+	}
+}
+
+// Get reads a counter.
+func (r *Registry) Get(name string) int64 { return r.at(name).Load() }
+
+// Log prints all counters on one line, by name.
+func (r *Registry) Log(log *zap.Logger, why string) {
+	r.mu.RLock()
+	names := make([]string, 0, len(r.count))
+	for name := range r.count {
+		names = append(names, name)
+	}
+	r.mu.RUnlock()
+	slices.Sort(names)
+	fields := []zap.Field{zap.String("why", why)}
+	for _, name := range names {
+		fields = append(fields, zap.Int64(name, r.Get(name)))
+	}
+	log.Info("counters", fields...)
+}
--- /dev/null
+++ b/internal/platform/lines.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"merlinarch/logic"
+)
+
+// Words of this deployment's platform.
+const (
+	callWatch  = "WATCH"
+	callVote   = "VOTE"
+	wordOK     = "OK"
+	wordError  = "ERR"
+	wordUnsaid = "*"
+	kindNews   = "news"
+
+	fieldBuild = "release"
+	fieldStage = "tranche"
+	fieldPhase = "mode"
+	fieldCap   = "exposure"
+	fieldAge   = "old_ms"
+
+	highestBuild = 1 << 16
+	highestStage = 1 << 10
+)
+
+var verdicts = map[logic.Verdict]string{logic.VoteNone: "blank", logic.VoteOn: "go", logic.VoteHold: "stay",
+	logic.VoteBack: "stop"}
+
+var phases = map[string]logic.Phase{"trial": logic.OnTrial, "rolling_back": logic.GoingBack,
+	"released": logic.Released, "withdrawn": logic.Withdrawn}
+
+var refusals = map[string]logic.VoteReply{"BUSY": logic.VoteThrottled, "STALE": logic.VoteMoot,
+	"FAILED": logic.VoteError, "SYNTAX": logic.VoteError}
+
+// formatVote writes a vote as a call.
+func formatVote(v logic.Vote) string {
+	return fmt.Sprintf("%s %d %d %s\r\n", callVote, v.Build, v.Stage, verdicts[v.Verdict])
+}
+
+// parseReply reads the answer to a call; one that can't be read may have been carried out.
+func parseReply(text string) logic.ReleaseStatus {
+	words := strings.Fields(text)
+	switch {
+	case len(words) == 2 && words[0] == wordError:
+		if reply, ok := refusals[words[1]]; ok {
+			return logic.ReleaseStatus{IsReply: true, Reply: reply}
+		}
+	case len(words) > 1 && words[0] == wordOK:
+		if e, err := parseState(words[1:]); err == nil {
+			e.IsReply = true
+			return e
+		}
+	}
+	return logic.ReleaseStatus{IsReply: true, Reply: logic.VoteTimedOut}
+}
+
+// parseNews reads a line told unasked; ok is false for a sign of life and for other kinds of news.
+func parseNews(text string) (e logic.ReleaseStatus, ok bool, err error) {
+	words := strings.Fields(text)
+	if len(words) < 2 || words[1] != kindNews {
+		return e, false, nil
+	}
+	e, err = parseState(words[2:])
+	return e, err == nil, err
+}
+
+var errState = errors.New("state of the build can't be read")
+
+// parseState reads build, stage, phase, cap and age.
+func parseState(words []string) (logic.ReleaseStatus, error) {
+	if len(words) < 5 {
+		return logic.ReleaseStatus{}, errState
+	}
+	build, err1 := strconv.Atoi(words[0])
+	stage, err2 := strconv.Atoi(words[1])
+	limit, err3 := strconv.ParseFloat(words[3], 64)
+	age, err4 := strconv.ParseFloat(words[4], 64)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return logic.ReleaseStatus{}, fmt.Errorf("%w: %w", errState, err)
+	}
+	return state(build, stage, words[2], limit, age)
+}
+
+// state checks the fields of a state.
+func state(build, stage int, phase string, limit, ageMS float64) (logic.ReleaseStatus, error) {
+	p, ok := phases[phase]
+	if !ok || build < 0 || build >= highestBuild || stage < 0 || stage >= highestStage ||
+		!(limit >= 0 && limit <= 1) || !(ageMS >= 0 && ageMS < 1e12) {
+		return logic.ReleaseStatus{}, errState
+	}
+	return logic.ReleaseStatus{Build: logic.BuildID(build), Stage: stage, Phase: p, Cap: limit,
+		Age: time.Duration(ageMS * float64(time.Millisecond))}, nil
+}
+
+// DecodeNews reads the state that the configuration holds.
+func DecodeNews(v *fastjson.Value) (logic.ReleaseStatus, error) {
+	if v == nil || v.Type() != fastjson.TypeObject || !v.Exists(fieldBuild) {
+		return logic.ReleaseStatus{}, errState
+	}
+	return state(v.GetInt(fieldBuild), v.GetInt(fieldStage), string(v.GetStringBytes(fieldPhase)),
+		v.GetFloat64(fieldCap), v.GetFloat64(fieldAge))
+}
--- /dev/null
+++ b/internal/servers/attempt.go
@@ -0,0 +1,158 @@
+package servers
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"merlinarch/internal/gateway"
+	"merlinarch/logic"
+)
+
+// Start begins an attempt; the returned function gives it up.
+func (p *Pool) Start(a gateway.Attempt) (cancel func()) {
+	ctx, stop := context.WithDeadline(p.ctx, a.Deadline)
+	p.work.Go(func() {
+		defer stop()
+		r := p.attempt(ctx, a)
+		if r.Ended.IsZero() {
+			r.Ended = time.Now()
+		}
+		a.Report(r)
+	})
+	return stop
+}
+
+// attempt runs one attempt to its end. By the time it returns, the connection is idle or closed. Danger: an
+// attempt that was given up must not be out on an open connection when the next one leaves.
+func (p *Pool) attempt(ctx context.Context, a gateway.Attempt) gateway.Result {
+	h := p.lookup(a.Server)
+	if h == nil {
+		return gateway.Result{Outcome: logic.NotSent}
+	}
+	c := p.take(h)
+	if c == nil {
+		var err error
+		if c, err = p.connect(ctx, h); err != nil {
+			return gateway.Result{Outcome: p.unsent(ctx, err)}
+		}
+	}
+	// Danger: the request may have ended, or the host begun to drain, while the connection was made.
+	if a.Exchange.Ended() || ctx.Err() != nil || p.late(h, a.Decided) {
+		p.count.Inc("attempts.given_up_unsent")
+		p.give(h, c)
+		return gateway.Result{Outcome: logic.NotSent}
+	}
+	return p.exchange(ctx, h, c, request(a))
+}
+
+// unsent is the outcome of an attempt whose connection was not made. Danger: short of descriptors, or when
+// its own time is over, the node would blame the host.
+func (p *Pool) unsent(ctx context.Context, err error) logic.Outcome {
+	if errors.Is(err, errNoDescriptor) || ctx.Err() != nil {
+		return logic.NotSent
+	}
+	return logic.ConnectFailed
+}
+
+// exchange writes a request and waits for its answer. The outcome turns on the last byte: a break before it
+// is written proves that the request never ran, after it the request may have.
+func (p *Pool) exchange(ctx context.Context, h *host, c *conn, text []byte) gateway.Result {
+	c.setBusy(true)
+	release := context.AfterFunc(ctx, func() { c.raw.SetWriteDeadline(time.Unix(1, 0)) })
+	n, err := c.raw.Write(text)
+	release()
+	if err != nil || n < len(text) {
+		p.discard(c)
+		return gateway.Result{Outcome: logic.ConnectFailed}
+	}
+	var got reply
+	select {
+	case got = <-c.replies:
+	case <-ctx.Done():
+		p.discard(c)
+		// An answer that was read whole meanwhile may be in the channel; it no longer counts, since the
+		// wait is over and the connection closed.
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return gateway.Result{Outcome: logic.TimedOut}
+		}
+		return gateway.Result{Outcome: logic.Cancelled}
+	}
+	if got.err != nil {
+		p.discard(c)
+		return gateway.Result{Outcome: logic.Reset, Ended: got.at}
+	}
+	if got.reusable && ctx.Err() == nil { // else its write deadline may be set
+		p.give(h, c)
+	} else {
+		p.discard(c)
+	}
+	return gateway.Result{Outcome: outcome(got.response), Body: got.body, Load: got.load, Ended: got.at}
+}
+
+// outcome reads the protocol's table of answers.
+func outcome(r response) logic.Outcome {
+	switch {
+	case r.status == http.StatusOK:
+		return logic.OK
+	case r.notRun && (r.status == http.StatusServiceUnavailable || r.status == http.StatusGatewayTimeout):
+		return logic.Rejected
+	default: // it may have run
+		return logic.ServerError
+	}
+}
+
+// request writes an attempt's request. The message goes on as it came.
+func request(a gateway.Attempt) []byte {
+	m := a.Exchange.Message
+	b := make([]byte, 0, 256+len(m.Target)+len(m.Body))
+	b = append(b, m.Method...)
+	b = append(b, ' ')
+	b = append(b, m.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "+service+"\r\n"+headerID+": "...)
+	b = append(b, m.ID...)
+	b = append(b, "\r\n"+headerRemaining+": "...)
+	b = strconv.AppendInt(b, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	if m.DedupKey != "" {
+		b = append(b, "\r\n"+headerDedup+": "...)
+		b = append(b, m.DedupKey...)
+	}
+	if m.Method != http.MethodGet || len(m.Body) > 0 {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+	}
+	return append(append(b, "\r\n\r\n"...), m.Body...)
+}
+
+// Probe asks a server how it is.
+func (p *Pool) Probe(server logic.ServerID, report func(gateway.Result)) {
+	p.work.Go(func() {
+		ctx, stop := context.WithTimeout(p.ctx, p.limits.ProbeTimeout)
+		defer stop()
+		r := p.probe(ctx, server)
+		r.Ended = time.Now()
+		p.count.Inc("probes.sent")
+		report(r)
+	})
+}
+
+func (p *Pool) probe(ctx context.Context, server logic.ServerID) gateway.Result {
+	h := p.lookup(server)
+	if h == nil {
+		return gateway.Result{Outcome: logic.NotSent}
+	}
+	c := p.take(h)
+	if c == nil {
+		var err error
+		if c, err = p.connect(ctx, h); err != nil {
+			return gateway.Result{Outcome: p.unsent(ctx, err)}
+		}
+	}
+	r := p.exchange(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+service+"\r\n\r\n"))
+	if r.Load == nil && r.Outcome == logic.OK {
+		r.Load = parseLoad(string(r.Body))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/servers/pool.go
@@ -0,0 +1,290 @@
+// Package servers is the router's side towards the hosts: connections, attempts and probes, HTTP/1.1 written
+// on net.Conn. An attempt is written once and never resent here, whatever happens to it.
+package servers
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/gateway"
+	"merlinarch/internal/metrics"
+	"merlinarch/logic"
+)
+
+// host is a server that the list names, in one of its lives.
+type host struct {
+	gateway.Host
+	drained  time.Time // when it was first told to drain or be gone; zero: it is neither
+	replaced bool      // another life or address has taken its place
+	idle     []*conn   // the latest used last
+}
+
+// Pool holds the connections to all servers.
+type Pool struct {
+	limits config.Limits
+	count  *metrics.Registry
+	ctx    context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+
+	mu       sync.Mutex
+	hosts    map[logic.ServerID]*host
+	open     int // connections that stand or are being made
+	recalled map[logic.BuildID]time.Time
+}
+
+// New makes a pool; Close ends all that it has begun.
+func New(limits config.Limits, count *metrics.Registry) *Pool {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Pool{limits: limits, count: count, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
+		recalled: map[logic.BuildID]time.Time{}}
+	p.work.Go(p.retire)
+	return p
+}
+
+// Close ends all attempts and connections, and waits for them.
+func (p *Pool) Close() {
+	p.stop()
+	p.mu.Lock()
+	for _, h := range p.hosts {
+		p.dropIdle(h)
+	}
+	p.mu.Unlock()
+	p.work.Wait()
+}
+
+// Listed takes discovery's list, or its changes.
+func (p *Pool) Listed(full bool, hosts []gateway.Host) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	named := map[logic.ServerID]bool{}
+	for _, h := range hosts {
+		named[h.ID] = true
+		have := p.hosts[h.ID]
+		switch {
+		case h.State == logic.Gone:
+			p.remove(have, now)
+			continue
+		case have == nil:
+		case have.Addr == h.Addr && have.Started == h.Started && have.Build == h.Build:
+			have.Host = h
+			have.note(now)
+			continue
+		default: // Danger: a send meant for the earlier life would run another build, unseen by its cap
+			have.replaced = true
+			p.dropIdle(have)
+		}
+		fresh := &host{Host: h}
+		fresh.note(now)
+		p.hosts[h.ID] = fresh
+	}
+	if !full {
+		return
+	}
+	for id, h := range p.hosts {
+		if !named[id] {
+			p.remove(h, now)
+		}
+	}
+}
+
+// note keeps since when a host wants nothing new.
+func (h *host) note(now time.Time) {
+	if h.State == logic.Ready {
+		h.drained = time.Time{}
+	} else if h.drained.IsZero() {
+		h.drained = now
+	}
+}
+
+// remove takes a host off the list; attempts that are out go on.
+func (p *Pool) remove(h *host, now time.Time) {
+	if h == nil {
+		return
+	}
+	h.State = logic.Gone
+	h.note(now)
+	p.dropIdle(h)
+	delete(p.hosts, h.ID)
+}
+
+// dropIdle closes a host's idle connections.
+func (p *Pool) dropIdle(h *host) {
+	for _, c := range h.idle {
+		p.shut(c)
+	}
+	h.idle = nil
+}
+
+// shut closes a connection, once.
+func (p *Pool) shut(c *conn) {
+	if !c.shut {
+		c.shut = true
+		p.open--
+		c.raw.Close()
+	}
+}
+
+// discard closes a connection that is not among the idle ones.
+func (p *Pool) discard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shut(c)
+}
+
+// CloseIdle closes the idle connections to a server.
+func (p *Pool) CloseIdle(server logic.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[server]; h != nil {
+		p.dropIdle(h)
+	}
+}
+
+// Recall voids sends to a build that were decided before now and would leave after the grace.
+func (p *Pool) Recall(build logic.BuildID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recalled[build] = time.Now()
+}
+
+// late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send
+// until a drain's grace has passed or a lower cap binds; it is given up then, never sent late.
+func (p *Pool) late(h *host, decided time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	drained := !h.drained.IsZero() && now.After(h.drained.Add(p.limits.SendGrace))
+	at, ok := p.recalled[h.Build]
+	recalled := ok && decided.Before(at) && now.After(at.Add(p.limits.SendGrace))
+	return h.replaced || drained || recalled
+}
+
+// lookup finds a host.
+func (p *Pool) lookup(server logic.ServerID) *host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts[server]
+}
+
+// take gives the idle connection that was used last, or nil. Danger: the kernel takes bytes for a host that
+// has closed long ago; so what is about to be used is looked at first.
+func (p *Pool) take(h *host) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(h.idle); n > 0; n = len(h.idle) {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		if !c.shut && c.quiet() && time.Since(c.usedAt) < p.limits.ServerIdle {
+			return c
+		}
+		p.count.Inc("connections.found_closed")
+		p.shut(c)
+	}
+	return nil
+}
+
+// give puts a connection among the idle ones, or closes it.
+func (p *Pool) give(h *host, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.shut {
+		return
+	}
+	c.usedAt = time.Now()
+	if h.replaced || h.State == logic.Gone || p.ctx.Err() != nil || len(h.idle) >= p.limits.MaxPerServer {
+		p.shut(c)
+		return
+	}
+	h.idle = append(h.idle, c)
+}
+
+// reserve takes a descriptor for a new connection. Danger: without descriptors left the node can't accept;
+// the least recently used idle connection closes first, and where there is none the send is given up.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.limits.ServerConns {
+		var oldest *host
+		for _, h := range p.hosts {
+			if len(h.idle) > 0 && (oldest == nil || h.idle[0].usedAt.Before(oldest.idle[0].usedAt)) {
+				oldest = h
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		p.count.Inc("connections.evicted")
+		p.shut(oldest.idle[0])
+		oldest.idle = oldest.idle[1:]
+	}
+	p.open++
+	return true
+}
+
+// unreserve gives the descriptor of a connection that was never made back.
+func (p *Pool) unreserve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// connect makes a new connection to a host.
+func (p *Pool) connect(ctx context.Context, h *host) (*conn, error) {
+	if !p.reserve() {
+		p.count.Inc("connections.no_descriptor")
+		return nil, errNoDescriptor
+	}
+	dialer := net.Dialer{Timeout: p.limits.DialTimeout, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", h.Addr)
+	if err != nil {
+		p.unreserve()
+		p.count.Inc("connections.failed")
+		return nil, err
+	}
+	p.count.Inc("connections.opened")
+	c := newConn(raw, sizes{p.limits.MaxHead, p.limits.MaxBody})
+	p.work.Go(func() { c.read(); p.ended(h, c) })
+	return c, nil
+}
+
+// ended removes a connection whose reader has stopped.
+func (p *Pool) ended(h *host, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, have := range h.idle {
+		if have == c {
+			h.idle = append(h.idle[:i], h.idle[i+1:]...)
+			p.count.Inc("connections.closed_by_server")
+			break
+		}
+	}
+	p.shut(c)
+}
+
+// retire closes idle connections before the machines' own limit does. Danger: a request that crosses the
+// machine's close may have run, and one of an unsafe class could not be tried again.
+func (p *Pool) retire() {
+	tick := time.NewTicker(max(p.limits.ServerIdle/16, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		for _, h := range p.hosts {
+			for len(h.idle) > 0 && time.Since(h.idle[0].usedAt) >= p.limits.ServerIdle {
+				p.count.Inc("connections.retired")
+				p.shut(h.idle[0])
+				h.idle = h.idle[1:]
+			}
+		}
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/servers/response.go
@@ -0,0 +1,235 @@
+package servers
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"merlinarch/internal/settings"
+	"merlinarch/logic"
+)
+
+// Names of this deployment on the way to servers and back.
+const (
+	service         = "app.svc"
+	headerID        = "X-Txn"
+	headerDedup     = "Idempotency-Key"
+	headerRemaining = "X-Remaining-Ms"
+	headerLoad      = "x-pressure"
+	headerNotRun    = "x-turned-away"
+	pathLoad        = "/-/load"
+)
+
+// response is a server's answer, read whole.
+type response struct {
+	status   int
+	notRun   bool        // the server says that it turned the request away unseen
+	load     *logic.Load // nil: none, or unreadable
+	body     []byte
+	reusable bool // the connection may carry another request
+}
+
+// sizes bounds what is read of an answer.
+type sizes struct{ head, body int }
+
+var (
+	errTooLarge  = errors.New("answer too large")
+	errMalformed = errors.New("malformed answer")
+)
+
+// readResponse reads one answer whole, interim ones skipped. Danger: half an answer passed on can't be
+// repeated or failed any more; and one whose length is in doubt would spill into the next.
+func readResponse(r *bufio.Reader, limit sizes) (response, error) {
+	for {
+		left := limit.head
+		resp, framing, err := readHead(r, &left)
+		if err != nil {
+			return response{}, err
+		}
+		if resp.status/100 == 1 && resp.status != 101 {
+			continue
+		}
+		resp.body, err = readBody(r, framing, limit)
+		if err != nil {
+			return response{}, err
+		}
+		resp.reusable = !framing.close && !framing.untilEnd
+		return resp, nil
+	}
+}
+
+// framing tells how an answer's body ends.
+type framing struct {
+	length   int // -1: not told
+	chunked  bool
+	close    bool // the connection ends after it
+	untilEnd bool // the body ends with the connection
+}
+
+// line reads one line without its end; left is what the head may still hold.
+func line(r *bufio.Reader, left *int) (string, error) {
+	var whole []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if *left -= len(part); *left < 0 {
+			return "", errTooLarge
+		}
+		whole = append(whole, part...)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return "", unexpected(err)
+		}
+	}
+	return string(bytes.TrimSuffix(whole[:len(whole)-1], []byte{'\r'})), nil
+}
+
+// unexpected is the error of an end within an answer.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func readHead(r *bufio.Reader, left *int) (response, framing, error) {
+	first, err := line(r, left)
+	if err != nil {
+		return response{}, framing{}, err
+	}
+	version, rest, _ := strings.Cut(first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return response{}, framing{}, fmt.Errorf("%w: status line %.60q", errMalformed, first)
+	}
+	resp, f := response{status: status}, framing{length: -1, close: version == "HTTP/1.0"}
+	for {
+		text, err := line(r, left)
+		if err != nil {
+			return response{}, framing{}, err
+		}
+		if text == "" {
+			break
+		}
+		name, value, ok := strings.Cut(text, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return response{}, framing{}, fmt.Errorf("%w: header line %.60q", errMalformed, text)
+		}
+		if err := resp.header(&f, strings.ToLower(name), strings.Trim(value, " \t")); err != nil {
+			return response{}, framing{}, err
+		}
+	}
+	if f.chunked && f.length >= 0 {
+		return response{}, framing{}, fmt.Errorf("%w: two framings", errMalformed)
+	}
+	if status/100 == 1 || status == 204 || status == 304 {
+		f.chunked, f.length = false, 0
+	}
+	f.untilEnd = !f.chunked && f.length < 0
+	return resp, f, nil
+}
+
+// header takes in one header.
+func (resp *response) header(f *framing, name, value string) error {
+	switch name {
+	case "content-length":
+		n, err := strconv.ParseUint(value, 10, 31)
+		if err != nil || f.length >= 0 && f.length != int(n) {
+			return fmt.Errorf("%w: length %.30q", errMalformed, value)
+		}
+		f.length = int(n)
+	case "transfer-encoding":
+		if !strings.EqualFold(value, "chunked") || f.chunked {
+			return fmt.Errorf("%w: transfer encoding %.30q", errMalformed, value)
+		}
+		f.chunked = true
+	case "connection":
+		for option := range strings.SplitSeq(value, ",") {
+			f.close = f.close || strings.EqualFold(strings.TrimSpace(option), "close")
+		}
+	case headerLoad:
+		resp.load = parseLoad(value)
+	case headerNotRun:
+		resp.notRun = value == "1"
+	}
+	return nil
+}
+
+// readBody reads a body to its end.
+func readBody(r *bufio.Reader, f framing, limit sizes) ([]byte, error) {
+	switch {
+	case f.chunked:
+		return readChunks(r, limit)
+	case f.untilEnd:
+		body, err := io.ReadAll(io.LimitReader(r, int64(limit.body)+1))
+		if err == nil && len(body) > limit.body {
+			err = errTooLarge
+		}
+		return body, err
+	case f.length > limit.body:
+		return nil, errTooLarge
+	}
+	body := make([]byte, f.length)
+	_, err := io.ReadFull(r, body)
+	return body, unexpected(err)
+}
+
+// readChunks reads a chunked body and its trailer.
+func readChunks(r *bufio.Reader, limit sizes) ([]byte, error) {
+	var body []byte
+	for left := limit.head + limit.body; ; { // chunks of a byte each have longer heads than data
+		text, err := line(r, &left)
+		if err != nil {
+			return nil, err
+		}
+		digits, _, _ := strings.Cut(text, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+		if err != nil {
+			return nil, fmt.Errorf("%w: chunk size %.30q", errMalformed, text)
+		}
+		if n == 0 {
+			break
+		}
+		if len(body)+int(n) > limit.body {
+			return nil, errTooLarge
+		}
+		from := len(body)
+		body = append(body, make([]byte, n)...)
+		if _, err := io.ReadFull(r, body[from:]); err != nil {
+			return nil, unexpected(err)
+		}
+		if end, err := line(r, &left); err != nil {
+			return nil, err
+		} else if end != "" {
+			return nil, fmt.Errorf("%w: end of chunk %.30q", errMalformed, end)
+		}
+	}
+	for left := limit.head; ; {
+		if text, err := line(r, &left); err != nil || text == "" {
+			return body, err
+		}
+	}
+}
+
+// parseLoad reads a load report, name=value,name=value; one that can't be read is none.
+func parseLoad(text string) *logic.Load {
+	l, any := settings.NoLoad(), false
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || !(x >= 0 && x < 1e12) {
+			return nil
+		}
+		any = settings.SetLoad(&l, name, x) || any
+	}
+	if !any {
+		return nil
+	}
+	return &l
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,9 +9,18 @@
 
 	"github.com/valyala/fastjson"
 
+	"merlinarch/internal/settings"
 	"merlinarch/logic"
 )
 
+var outcomes = map[uint64]logic.Outcome{200: logic.OK, 502: logic.ServerError, 429: logic.Rejected,
+	408: logic.TimedOut, 521: logic.ConnectFailed, 520: logic.Reset, 444: logic.Cancelled, 409: logic.NotSent}
+
+var replies = map[uint64]logic.VoteReply{200: logic.VoteCounts, 409: logic.VoteMoot, 429: logic.VoteThrottled,
+	502: logic.VoteError, 408: logic.VoteTimedOut}
+
+var states = map[string]logic.ServerState{"SERVING": logic.Ready, "DRAINING": logic.Draining, "DELETED": logic.Gone}
+
 // Input is one event for one instance.
 type Input struct {
 	Boot  *Boot       // set when the instance starts
@@ -63,7 +72,7 @@
 	if parts == nil || parts.Type() != fastjson.TypeArray {
 		return Batch{}, fmt.Errorf("batch has no array parts")
 	}
-	batch := Batch{Now: millis(clock)}
+	batch := Batch{Now: settings.Millis(clock)}
 	for i, p := range parts.GetArray() {
 		who := p.Get("who")
 		if who == nil {
@@ -145,14 +154,14 @@
 
 func (f *fields) millis(i int) time.Duration {
 	if v := f.number(i); v != nil {
-		return millis(v)
+		return settings.Millis(v)
 	}
 	return 0
 }
 
 func (f *fields) optMillis(i int) time.Duration {
 	if v := f.at(i, fastjson.TypeNumber, false); v != nil {
-		return millis(v)
+		return settings.Millis(v)
 	}
 	return 0
 }
@@ -182,27 +191,13 @@
 	if v == nil {
 		return nil
 	}
-	l := &logic.Load{InFlight: -1, Queue: -1, Utilization: -1, RatePerSec: -1}
+	l := settings.NoLoad()
 	v.GetObject().Visit(func(k []byte, x *fastjson.Value) {
-		if x.Type() != fastjson.TypeNumber {
-			return
-		}
-		switch string(k) {
-		case "concurrent":
-			l.InFlight = x.GetFloat64()
-		case "depth":
-			l.Queue = x.GetFloat64()
-		case "load_share":
-			l.Utilization = x.GetFloat64()
-		case "tps":
-			l.RatePerSec = x.GetFloat64()
+		if x.Type() == fastjson.TypeNumber {
+			settings.SetLoad(&l, string(k), x.GetFloat64())
 		}
 	})
-	return l
-}
-
-func millis(v *fastjson.Value) time.Duration {
-	return time.Duration(v.GetFloat64()*1000+0.5) * time.Microsecond
+	return &l
 }
 
 // event reads one event; skip is set for events that only concern the decoder.
@@ -257,7 +252,7 @@
 	case "boot":
 		in.Boot = &Boot{Seed: f.uint(0)}
 		if obj := f.at(1, fastjson.TypeObject, true); f.err == nil {
-			in.Boot.Settings, f.err = settings(obj)
+			in.Boot.Settings, f.err = settings.Decode(obj)
 		}
 	case "crash_now":
 		in.Crash = true
