--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -3,14 +3,17 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"merlinarch/internal/config"
 	"merlinarch/internal/metrics"
+	"merlinarch/internal/sock"
 )
 
 // conns keeps count of the connections from clients, the idle ones in the order in which they became so.
@@ -19,66 +22,122 @@
 	count  *metrics.Registry
 
 	mu      sync.Mutex
-	open    map[string]bool // by remote address; set: came when there was no room
-	idle    *list.List      // of net.Conn, the longest idle first
-	idleAt  map[net.Conn]*list.Element
 	present int
+	idle    *list.List // of *conn, the longest idle first
+	freed   chan struct{}
 }
 
 func newConns(limits config.Limits, count *metrics.Registry) *conns {
-	return &conns{limits: limits, count: count, open: map[string]bool{}, idle: list.New(),
-		idleAt: map[net.Conn]*list.Element{}}
+	return &conns{limits: limits, count: count, idle: list.New(), freed: make(chan struct{}, 1)}
 }
 
-// state follows a connection through its life.
-func (c *conns) state(conn net.Conn, to http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e := c.idleAt[conn]; e != nil {
-		c.idle.Remove(e)
-		delete(c.idleAt, conn)
+// conn is a connection from a client.
+type conn struct {
+	net.Conn
+	all *conns
+
+	// Guarded by all.mu.
+	waits  *list.Element // among the idle ones: nothing has been read since its last answer
+	idleAt time.Time
+	closed bool
+	ending bool // to be closed between requests
+}
+
+// Read takes a connection from among the idle ones before net/http sees a byte of its next request, and
+// ends one that is to be closed only if no byte of a next request has come. Danger: net/http tells that it
+// is busy only after the head was read; closed in between, a request that was taken would be lost.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		c.all.mu.Lock()
+		ending := c.ending
+		c.ending = false
+		if ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && sock.Silent(c.Conn) {
+			c.all.mu.Unlock()
+			return 0, io.EOF
+		}
+		c.all.busy(c)
+		c.all.mu.Unlock()
+		if !ending {
+			return n, err
+		}
+		if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+		if n > 0 {
+			return n, nil
+		}
+	}
+}
+
+// Close counts it off, once.
+func (c *conn) Close() error {
+	c.all.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.all.busy(c)
+		c.all.present--
+		select {
+		case c.all.freed <- struct{}{}:
+		default:
+		}
+	}
+	c.all.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// busy takes a connection from among the idle ones; the lock is held.
+func (a *conns) busy(c *conn) {
+	if c.waits != nil {
+		a.idle.Remove(c.waits)
+		c.waits = nil
 	}
-	addr := conn.RemoteAddr().String()
-	switch to {
-	case http.StateNew:
-		c.count.Inc("clients.connections")
-		c.present++
-		// Danger: with no descriptor left the node can't accept, and what stands in the backlog is taken all
-		// the same. The longest idle one makes room; where none is idle, the new one is refused and closed.
-		c.open[addr] = c.present > c.limits.ClientConns && !c.evict()
-	case http.StateIdle:
-		c.idleAt[conn] = c.idle.PushBack(conn)
-	case http.StateClosed, http.StateHijacked:
-		c.present--
-		delete(c.open, addr)
+}
+
+// state puts a connection among the idle ones once its answer is written.
+func (a *conns) state(nc net.Conn, to http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok || to != http.StateIdle {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !c.closed && c.waits == nil {
+		c.waits, c.idleAt = a.idle.PushBack(c), time.Now()
 	}
 }
 
-// evict closes the connection that has been idle longest; a client may see that between requests.
-func (c *conns) evict() bool {
-	e := c.idle.Front()
-	if e == nil {
+// evict ends the connection that has been idle longest, if that is for a while: its client may see it close
+// between requests, and one that it used a moment ago may well have its next request under way.
+func (a *conns) evict() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.idle.Front()
+	if e == nil || time.Since(e.Value.(*conn).idleAt) < a.limits.IdleLeast {
+		return false
+	}
+	c := e.Value.(*conn)
+	a.busy(c)
+	c.ending = true
+	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil { // its reader wakes and ends it
 		return false
 	}
-	conn := c.idle.Remove(e).(net.Conn)
-	delete(c.idleAt, conn)
-	conn.Close()
-	c.count.Inc("clients.evicted")
+	a.count.Inc("clients.evicted")
 	return true
 }
 
-// crowded tells that a connection came when there was no room.
-func (c *conns) crowded(addr string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open[addr]
+// crowded tells that more connections stand than the node wants: answers close theirs then.
+func (a *conns) crowded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.present > a.limits.ClientConns-a.limits.WantedSpare
 }
 
-// wanted tells that descriptors are getting short, and connections are better closed after their answer.
-func (c *conns) wanted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.present > c.limits.ClientConns-c.limits.WantedSpare
+// full tells that there is no descriptor for another.
+func (a *conns) full() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.present >= a.limits.ClientConns
 }
 
 // listener accepts whatever comes.
@@ -87,19 +146,41 @@
 	conns *conns
 }
 
-// Accept waits out a lack of descriptors. Danger: net/http would pause for up to a second each time, while
-// clients' requests stand in the backlog.
+// Accept takes the next connection. Danger: with no descriptor left nothing can be accepted nor sent, and
+// what stands in the backlog is taken all the same. So it waits, for moments, until an answer has closed a
+// connection or one that stands idle can be closed; requests that are held are few enough for that.
 func (l *listener) Accept() (net.Conn, error) {
+	for l.conns.full() {
+		l.conns.count.Inc("clients.accept_waits")
+		l.conns.evict()
+		l.conns.pause()
+	}
 	for {
-		conn, err := l.Listener.Accept()
-		if err == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) &&
-			!errors.Is(err, syscall.ENOBUFS) && !errors.Is(err, syscall.ENOMEM) {
-			return conn, err
+		nc, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			l.conns.count.Inc("clients.connections")
+			l.conns.mu.Lock()
+			l.conns.present++
+			l.conns.mu.Unlock()
+			return &conn{Conn: nc, all: l.conns}, nil
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
+			errors.Is(err, syscall.ENOMEM): // net/http would pause for up to a second
+			l.conns.count.Inc("clients.accept_short")
+			l.conns.evict()
+			l.conns.pause()
+		default:
+			return nil, err
 		}
-		l.conns.count.Inc("clients.accept_short")
-		l.conns.mu.Lock()
-		l.conns.evict()
-		l.conns.mu.Unlock()
-		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// pause waits a moment, or until a connection has closed.
+func (a *conns) pause() {
+	t := time.NewTimer(2 * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-a.freed:
+	case <-t.C:
 	}
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -78,29 +78,31 @@
 		return
 	}
 	s.count.Inc("requests.taken")
-	defer s.open.Add(-1)
 	full := s.open.Add(1) > int64(s.limits.MaxOpen)
+	defer s.open.Add(-1)
 	m, f, wait, wrong := s.reader.head(r)
-	if wrong == nil && (full || s.conns.crowded(r.RemoteAddr)) {
-		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
-		// sent for this request, so a refusal is in order whatever its class.
-		s.count.Inc("requests.refused_full")
-		w.Header().Set("Connection", "close")
-		s.answer(w, exchange.Answer{Status: exchange.Refused}, time.Now().Add(wait))
-		return
-	}
 	if wrong == nil {
+		// The body is read for a refusal too. Danger: closing with bytes unread resets the connection, and
+		// the client may never see its answer.
 		m.Body, wrong = s.reader.body(w, r, wait)
 	}
 	until := time.Now().Add(wait) // a request's time runs from its last byte
 	if wrong != nil {
 		s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
+		s.log.Debug("bad request", zap.Int("status", wrong.status), zap.String("reason", wrong.text))
 		s.send(w, until, wrong.status, []byte(wrong.text+"\n"))
 		return
 	}
-	if s.conns.wanted() {
+	if s.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if full {
+		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
+		// sent for this request, so a refusal is in order whatever its class.
+		s.count.Inc("requests.refused_full")
+		s.answer(w, exchange.Answer{Status: exchange.Refused}, until)
+		return
+	}
 	s.answer(w, s.wait(r.Context(), m, f, until), until)
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,6 +28,7 @@
 	MaxOutgoing  int // messages and votes that wait to be written
 	MaxPerServer int // idle connections kept to one server
 
+	IdleLeast    time.Duration // a client's connection idle for less is not closed for want of room
 	MaxWait      time.Duration // the longest time that a client may say it waits
 	AnswerMargin time.Duration // before a client's time is over, the decisions' time is
 	LastMargin   time.Duration // before a client's time is over, the node answers by itself
@@ -80,8 +81,8 @@
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxOpen:     max(8, told.MemoryMB*mebibyte/2/requestBytes),
 		ServerConns: free * 2 / 5, ClientConns: free - free*2/5, MinSockets: leastSockets,
-		MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
-		WriteExtra: time.Second, 
+		IdleLeast: 500 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
+		WriteExtra:  time.Second,
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
@@ -90,6 +91,7 @@
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
 	}
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
+	l.MaxOpen = max(4, min(l.MaxOpen, l.ClientConns-2*l.WantedSpare)) // else held requests would leave no room
 	if l.DialTimeout <= 0 {
 		l.DialTimeout, l.ProbeTimeout = time.Second, time.Second
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,12 @@
 	cancel   func()
 }
 
+// event is one that waits for the loop.
+type event struct {
+	what any
+	at   time.Time // when it was posted
+}
+
 // Events of the node itself.
 type (
 	arrived   struct{ ex *exchange.Exchange }
@@ -127,7 +133,7 @@
 	count  *metrics.Registry
 	log    *zap.Logger
 
-	events chan any
+	events chan event
 	done   chan struct{}
 	timers timers
 	calls  map[logic.RequestID]*call
@@ -139,7 +145,7 @@
 // New makes a gateway round a router; Run starts it.
 func New(router *logic.Router, limits config.Limits, clock Clock, count *metrics.Registry, log *zap.Logger) *Gateway {
 	return &Gateway{router: router, limits: limits, clock: clock, count: count, log: log,
-		events: make(chan any, limits.MaxEvents), done: make(chan struct{}),
+		events: make(chan event, limits.MaxEvents), done: make(chan struct{}),
 		calls: map[logic.RequestID]*call{}, ids: map[*exchange.Exchange]logic.RequestID{}}
 }
 
@@ -149,7 +155,7 @@
 // post puts an event before the loop. It waits while the loop is behind; the loop never waits for a poster.
 func (g *Gateway) post(e any) error {
 	select {
-	case g.events <- e:
+	case g.events <- event{e, time.Now()}:
 		return nil
 	case <-g.done:
 		return ErrStopped
@@ -198,7 +204,10 @@
 		wake.Reset(g.timers.wait(g.clock.Now()))
 		select {
 		case e := <-g.events:
-			g.take(e)
+			began := time.Now()
+			g.count.Worst("loop.worst_wait_us", began.Sub(e.at))
+			g.take(e.what)
+			g.count.Worst("loop.worst_event_us", time.Since(began))
 		case <-wake.C:
 		case <-ctx.Done():
 			return
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -70,23 +69,3 @@
 		}
 	}
 }
-
-// quiet tells that an idle connection is open and holds nothing unread. The reader may not have run yet
-// since the host closed it, so the kernel is asked.
-func (c *conn) quiet() bool {
-	sc, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -11,6 +11,7 @@
 	"merlinarch/internal/config"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/metrics"
+	"merlinarch/internal/sock"
 	"merlinarch/logic"
 )
 
@@ -179,7 +180,7 @@
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
-		if !c.shut && c.quiet() && time.Since(c.usedAt) < p.limits.ServerIdle {
+		if !c.shut && sock.Silent(c.raw) && time.Since(c.usedAt) < p.limits.ServerIdle {
 			return c
 		}
 		p.count.Inc("connections.found_closed")
