--- /dev/null
+++ b/internal/servers/pool_test.go
@@ -0,0 +1,506 @@
+package servers
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/exchange"
+	"merlinarch/internal/gateway"
+	"merlinarch/internal/metrics"
+	"merlinarch/logic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second // far beyond what any step takes; only a defect waits so long
+
+func testLimits() config.Limits {
+	return config.Limits{MaxHead: 4096, MaxBody: 1 << 16, ServerConns: 8, MaxPerServer: 4,
+		DialTimeout: patience, ProbeTimeout: patience, ServerIdle: patience, SendGrace: patience}
+}
+
+// standIn is a host that answers each connection by a script of its own.
+type standIn struct {
+	t     *testing.T
+	l     net.Listener
+	work  sync.WaitGroup
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// newStandIn starts a host; serve is given each connection and its number, from 0.
+func newStandIn(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{t: t, l: l}
+	s.work.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			n := len(s.conns)
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			s.work.Go(func() { serve(n, c, bufio.NewReader(c)) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+		s.mu.Unlock()
+		s.work.Wait()
+	})
+	return s
+}
+
+func (s *standIn) accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *standIn) host(id logic.ServerID) gateway.Host {
+	return gateway.Host{Addr: s.l.Addr().String(), Server: logic.Server{ID: id, Build: 7}}
+}
+
+func newPool(t *testing.T, limits config.Limits, hosts ...gateway.Host) (*Pool, *metrics.Registry) {
+	t.Helper()
+	count := metrics.New()
+	p := New(limits, count)
+	t.Cleanup(p.Close)
+	p.Listed(true, hosts)
+	return p, count
+}
+
+// send makes one attempt and waits for its result.
+func send(t *testing.T, p *Pool, a gateway.Attempt) gateway.Result {
+	t.Helper()
+	results, cancel := begin(p, a)
+	defer cancel()
+	return await(t, results)
+}
+
+func begin(p *Pool, a gateway.Attempt) (<-chan gateway.Result, func()) {
+	if a.Exchange == nil {
+		a.Exchange = exchange.New(exchange.Message{Method: "POST", Target: "/api?x=%41&y", ID: "id-1",
+			DedupKey: "key-1", Body: []byte("a\x00body")}, exchange.Fields{}, time.Now().Add(patience))
+	}
+	if a.Server == 0 {
+		a.Server = 1
+	}
+	if a.Deadline.IsZero() {
+		a.Deadline = time.Now().Add(patience)
+	}
+	if a.Decided.IsZero() {
+		a.Decided = time.Now()
+	}
+	results := make(chan gateway.Result, 1)
+	a.Report = func(r gateway.Result) { results <- r }
+	return results, p.Start(a)
+}
+
+func await(t *testing.T, results <-chan gateway.Result) gateway.Result {
+	t.Helper()
+	select {
+	case r := <-results:
+		return r
+	case <-time.After(patience):
+		t.Fatal("no result")
+		return gateway.Result{}
+	}
+}
+
+// answer reads one request and writes text back.
+func answer(c net.Conn, r *bufio.Reader, text string) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return nil
+	}
+	io.WriteString(c, text)
+	return req
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+// What goes on unchanged is the bytes that came.
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	type seen struct {
+		line, id, key, body string
+		remaining           bool
+	}
+	got := make(chan seen, 1)
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		got <- seen{req.Method + " " + req.RequestURI, req.Header.Get("X-Txn"), req.Header.Get("Idempotency-Key"),
+			string(body), req.Header.Get("X-Remaining-Ms") != ""}
+		io.WriteString(c, fine)
+		r.Peek(1)
+	})
+	p, _ := newPool(t, testLimits(), h.host(1))
+	if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK || string(r.Body) != "hi" {
+		t.Fatalf("result %+v", r)
+	}
+	want := seen{"POST /api?x=%41&y", "id-1", "key-1", "a\x00body", true}
+	if s := <-got; s != want {
+		t.Errorf("the host saw %+v, want %+v", s, want)
+	}
+}
+
+// The outcome turns on the last byte: before it is written nothing ran, after it the request may have.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string // "" ends the connection instead
+		want   logic.Outcome
+	}{
+		{"served", fine, logic.OK},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", logic.ServerError},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", logic.Rejected},
+		{"over", "HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", logic.Rejected},
+		{"503 that does not say so", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", logic.ServerError},
+		{"error that says turned away", "HTTP/1.1 500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", logic.ServerError},
+		{"broken after the last byte", "", logic.Reset},
+		{"malformed", "what?\r\n\r\n", logic.Reset},
+		{"half an answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", logic.Reset},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newStandIn(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				answer(conn, r, c.answer)
+				conn.Close()
+			})
+			p, _ := newPool(t, testLimits(), h.host(1))
+			r := send(t, p, gateway.Attempt{})
+			if r.Outcome != c.want || c.want != logic.OK && c.want != logic.ServerError && r.Body != nil {
+				t.Errorf("result %+v, want outcome %v", r, c.want)
+			}
+			if h.accepted() != 1 {
+				t.Errorf("%d connections for one attempt: something was resent", h.accepted())
+			}
+		})
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	p, _ := newPool(t, testLimits(), gateway.Host{Addr: addr, Server: logic.Server{ID: 1}})
+	if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.ConnectFailed {
+		t.Errorf("outcome %v", r.Outcome)
+	}
+	if r := send(t, p, gateway.Attempt{Server: 2}); r.Outcome != logic.NotSent {
+		t.Errorf("unknown server: outcome %v", r.Outcome)
+	}
+}
+
+// A request bigger than the kernel takes at once, to a host that reads none of it: not all of it was written
+// when time ran out, so it never ran.
+func TestBreakBeforeLastByte(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	p, _ := newPool(t, testLimits())
+	c := newConn(a, testSizes)
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	h := &host{}
+	p.work.Go(func() { c.read(); p.ended(h, c) })
+	go func() {
+		io.ReadFull(b, make([]byte, 4))
+		b.Close()
+	}()
+	if r := p.exchange(t.Context(), h, c, []byte("more than four bytes")); r.Outcome != logic.ConnectFailed {
+		t.Errorf("outcome %v", r.Outcome)
+	}
+}
+
+// A connection that the host has closed while it was idle must not take a request.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		answer(c, r, fine)
+		c.Close()
+	})
+	p, _ := newPool(t, testLimits(), h.host(1))
+	for i := range 20 {
+		if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK {
+			t.Fatalf("attempt %d: outcome %v", i, r.Outcome)
+		}
+		waitFor(t, "the idle connection to go", func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.hosts[1].idle) == 0
+		})
+	}
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// A second answer to one request must not pass for the answer to the next.
+func TestSecondAnswerEndsConnection(t *testing.T) {
+	h := newStandIn(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n == 0 {
+			answer(c, r, fine+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+		} else {
+			answer(c, r, fine)
+		}
+		r.Peek(1)
+	})
+	p, _ := newPool(t, testLimits(), h.host(1))
+	for range 2 {
+		if r := send(t, p, gateway.Attempt{}); string(r.Body) != "hi" {
+			t.Fatalf("body %q", r.Body)
+		}
+	}
+	if h.accepted() != 2 {
+		t.Errorf("%d connections, want a new one after bytes that nobody asked for", h.accepted())
+	}
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for answer(c, r, fine) != nil {
+		}
+	})
+	p, _ := newPool(t, testLimits(), h.host(1))
+	for range 5 {
+		if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK {
+			t.Fatalf("outcome %v", r.Outcome)
+		}
+	}
+	if h.accepted() != 1 {
+		t.Errorf("%d connections for five requests in a row", h.accepted())
+	}
+	p.CloseIdle(1)
+	if send(t, p, gateway.Attempt{}); h.accepted() != 2 {
+		t.Errorf("%d connections after the idle one was closed", h.accepted())
+	}
+}
+
+// Giving up closes the connection before the outcome is told.
+func TestGivingUpClosesConnection(t *testing.T) {
+	for _, byTime := range []bool{true, false} {
+		ended := make(chan struct{})
+		arrived := make(chan struct{})
+		h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			answer(c, r, "")
+			close(arrived)
+			r.Peek(1) // returns once the other side has closed
+			close(ended)
+		})
+		p, _ := newPool(t, testLimits(), h.host(1))
+		a, want := gateway.Attempt{}, logic.Cancelled
+		if byTime {
+			a.Deadline, want = time.Now().Add(100*time.Millisecond), logic.TimedOut
+		}
+		results, cancel := begin(p, a)
+		<-arrived
+		if !byTime {
+			cancel()
+		}
+		if r := await(t, results); r.Outcome != want {
+			t.Errorf("outcome %v, want %v", r.Outcome, want)
+		}
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Error("the connection of a given-up attempt stays open")
+		}
+		cancel()
+	}
+}
+
+// A send must not leave late, nor for a request that has ended, nor to another life of its host.
+func TestLateSendsAreGivenUp(t *testing.T) {
+	quick := testLimits()
+	quick.SendGrace = 0
+	draining := func(h gateway.Host) gateway.Host { h.State = logic.Draining; return h }
+	cases := []struct {
+		name    string
+		limits  config.Limits
+		before  func(p *Pool, h gateway.Host)
+		attempt func(a *gateway.Attempt)
+	}{
+		{"drain grace is over", quick, func(p *Pool, h gateway.Host) { p.Listed(false, []gateway.Host{draining(h)}) }, nil},
+		{"lower cap binds", quick, func(p *Pool, _ gateway.Host) { p.Recall(7) },
+			func(a *gateway.Attempt) { a.Decided = time.Now().Add(-time.Hour) }},
+		{"request has ended", testLimits(), nil, func(a *gateway.Attempt) { a.Exchange.Finish(exchange.Answer{}) }},
+		{"time is over", testLimits(), nil, func(a *gateway.Attempt) { a.Deadline = time.Now().Add(-time.Second) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) { answer(c, r, fine) })
+			p, _ := newPool(t, c.limits, h.host(1))
+			if c.before != nil {
+				c.before(p, h.host(1))
+				time.Sleep(2 * time.Millisecond)
+			}
+			a := gateway.Attempt{Exchange: exchange.New(exchange.Message{Method: "GET", Target: "/api", ID: "x"},
+				exchange.Fields{}, time.Now().Add(patience))}
+			if c.attempt != nil {
+				c.attempt(&a)
+			}
+			if r := send(t, p, a); r.Outcome != logic.NotSent {
+				t.Errorf("outcome %v", r.Outcome)
+			}
+		})
+	}
+}
+
+// Within the grace a send that was decided before the drain still goes.
+func TestSendWithinGrace(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) { answer(c, r, fine) })
+	p, _ := newPool(t, testLimits(), h.host(1))
+	d := h.host(1)
+	d.State = logic.Draining
+	p.Listed(false, []gateway.Host{d})
+	p.Recall(7)
+	if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK {
+		t.Errorf("outcome %v", r.Outcome)
+	}
+}
+
+// An attempt on its way to a host that comes back as another life is given up.
+func TestReplacedHost(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) { answer(c, r, fine) })
+	p, _ := newPool(t, testLimits(), h.host(1))
+	old := p.lookup(1)
+	again := h.host(1)
+	again.Build = 8
+	p.Listed(false, []gateway.Host{again})
+	if !p.late(old, time.Now()) || p.late(p.lookup(1), time.Now()) {
+		t.Error("the earlier life may be sent to, or the present one not")
+	}
+	p.Listed(true, nil)
+	if p.lookup(1) != nil {
+		t.Error("a host absent from the whole list is kept")
+	}
+}
+
+// Short of descriptors the oldest idle connection closes, and where none is idle the send is given up.
+func TestShortOfDescriptors(t *testing.T) {
+	limits := testLimits()
+	limits.ServerConns = 1
+	release := make(chan struct{})
+	serve := func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			if strings.HasSuffix(req.RequestURI, "hang") {
+				<-release
+			}
+			io.WriteString(c, fine)
+		}
+	}
+	one, two := newStandIn(t, serve), newStandIn(t, serve)
+	p, count := newPool(t, limits, one.host(1), two.host(2))
+	if r := send(t, p, gateway.Attempt{Server: 1}); r.Outcome != logic.OK {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
+	if r := send(t, p, gateway.Attempt{Server: 2}); r.Outcome != logic.OK || count.Get("connections.evicted") != 1 {
+		t.Errorf("outcome %v, %d evicted", r.Outcome, count.Get("connections.evicted"))
+	}
+	hang := exchange.New(exchange.Message{Method: "GET", Target: "/api?hang", ID: "x"}, exchange.Fields{},
+		time.Now().Add(patience))
+	results, cancel := begin(p, gateway.Attempt{Exchange: hang, Server: 2})
+	defer cancel()
+	waitFor(t, "the only connection to be used", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.hosts[2].idle) == 0
+	})
+	if r := send(t, p, gateway.Attempt{Server: 1}); r.Outcome != logic.NotSent {
+		t.Errorf("without a descriptor: outcome %v", r.Outcome)
+	}
+	close(release)
+	if r := await(t, results); r.Outcome != logic.OK {
+		t.Errorf("outcome %v", r.Outcome)
+	}
+}
+
+// Idle connections are closed before the machine's own limit.
+func TestIdleConnectionsRetire(t *testing.T) {
+	limits := testLimits()
+	limits.ServerIdle = 20 * time.Millisecond
+	closed := make(chan struct{})
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		answer(c, r, fine)
+		r.Peek(1)
+		close(closed)
+	})
+	p, _ := newPool(t, limits, h.host(1))
+	send(t, p, gateway.Attempt{})
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Error("an idle connection is kept beyond its time")
+	}
+}
+
+func TestProbe(t *testing.T) {
+	cases := []struct {
+		answer string
+		want   logic.Outcome
+		queue  float64
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nqueue=3", logic.OK, 3},
+		{"HTTP/1.1 200 OK\r\nX-Pressure: queue=4\r\nContent-Length: 0\r\n\r\n", logic.OK, 4},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", logic.OK, -1},
+		{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", logic.ServerError, -1},
+	}
+	for _, c := range cases {
+		paths := make(chan string, 1)
+		h := newStandIn(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			if req := answer(conn, r, c.answer); req != nil {
+				paths <- req.RequestURI
+			}
+		})
+		p, _ := newPool(t, testLimits(), h.host(1))
+		results := make(chan gateway.Result, 1)
+		p.Probe(1, func(r gateway.Result) { results <- r })
+		r := await(t, results)
+		if r.Outcome != c.want || (r.Load != nil) != (c.queue >= 0) || r.Load != nil && r.Load.Queue != c.queue {
+			t.Errorf("%q: result %+v, load %+v", c.answer, r, r.Load)
+		}
+		if path := <-paths; path != "/-/load" {
+			t.Errorf("probe asked %s", path)
+		}
+	}
+}
