--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -82,7 +82,7 @@
 	if args[0] == "check" {
 		fmt.Fprintf(out, "configuration is good: %s listens on %s, %d classes, %d peers, room for %d requests, "+
 			"%d connections from clients, %d to hosts\n", c.Name, c.Listen, len(c.Settings.Classes), len(c.Peers),
-			c.Limits.MaxOpen, c.Limits.ClientConns, c.Limits.ServerConns)
+			c.Limits.MaxHeld, c.Limits.ClientConns, c.Limits.ServerConns)
 		return exitOK
 	}
 	if err := serve(c, log); err != nil {
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -163,6 +163,9 @@
 			l.conns.mu.Lock()
 			l.conns.present++
 			l.conns.mu.Unlock()
+			if l.conns.crowded() {
+				l.conns.evict()
+			}
 			return &conn{Conn: nc, all: l.conns}, nil
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
 			errors.Is(err, syscall.ENOMEM): // net/http would pause for up to a second
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -17,6 +17,7 @@
 	"merlinarch/internal/config"
 	"merlinarch/internal/exchange"
 	"merlinarch/internal/metrics"
+	"merlinarch/internal/sock"
 	"merlinarch/logic"
 )
 
@@ -45,7 +46,7 @@
 	errors, _ := zap.NewStdLogAt(log, zap.DebugLevel) // the level exists
 	// Danger: any time-out here could cut a request that the kernel has taken; none is set.
 	srv.http = &http.Server{Handler: srv, MaxHeaderBytes: limits.MaxHead, ErrorLog: errors,
-		ConnState: srv.conns.state}
+		ConnState: srv.conns.state, ConnContext: withConn}
 	return srv
 }
 
@@ -71,6 +72,22 @@
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if own, ok := c.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, own.Conn)
+	}
+	return ctx
+}
+
+// connOf is the connection that a request came on, or nil.
+func connOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == pathReady {
@@ -78,7 +95,7 @@
 		return
 	}
 	s.count.Inc("requests.taken")
-	full := s.open.Add(1) > int64(s.limits.MaxOpen)
+	full := s.open.Add(1) > int64(s.limits.MaxHeld)
 	defer s.open.Add(-1)
 	m, f, wait, wrong := s.reader.head(r)
 	if wrong == nil {
@@ -86,7 +103,11 @@
 		// the client may never see its answer.
 		m.Body, wrong = s.reader.body(w, r, wait)
 	}
-	until := time.Now().Add(wait) // a request's time runs from its last byte
+	// A request's time runs from its last byte. Danger: it may have stood in the kernel's backlog for long, and
+	// would be served after its client has left.
+	waited := sock.SinceReceived(connOf(r.Context()))
+	s.count.Worst("requests.worst_unread_us", waited)
+	until := time.Now().Add(wait - waited)
 	if wrong != nil {
 		s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
 		s.log.Debug("bad request", zap.Int("status", wrong.status), zap.String("reason", wrong.text))
@@ -96,6 +117,11 @@
 	if s.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if wait <= waited {
+		s.count.Inc("requests.over_when_read")
+		s.answer(w, exchange.Answer{Status: exchange.TimedOut}, until)
+		return
+	}
 	if full {
 		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
 		// sent for this request, so a refusal is in order whatever its class.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -20,11 +20,11 @@
 	MaxDatagram  int // bytes of a message between routers
 	MaxIDLength  int // bytes of a client's id or key
 	MaxEvents    int // events that wait for the loop
-	MaxOpen      int // requests held at a time
+	MaxOpen      int // requests held at a time, as the module is told
+	MaxHeld      int // beyond this the node itself refuses, unseen by the module
 	ClientConns  int // connections from clients
 	ServerConns  int // connections to servers
 	WantedSpare  int // connections from clients kept in hand: beyond, answers close theirs
-	MinSockets   int // below this the node can't serve
 	MaxOutgoing  int // messages and votes that wait to be written
 	MaxPerServer int // idle connections kept to one server
 
@@ -79,9 +79,9 @@
 		Cores: max(1, int(told.Cores)), MemoryBytes: int64(told.MemoryMB) * mebibyte * 7 / 10,
 		MaxBody: 64 << 10, MaxHead: 16 << 10, MaxLine: 8 << 10, MaxList: 8 << 20, MaxDatagram: 256,
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
-		MaxOpen:     max(8, told.MemoryMB*mebibyte/2/requestBytes),
-		ServerConns: free * 2 / 5, ClientConns: free - free*2/5, MinSockets: leastSockets,
-		IdleLeast: 500 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
+		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
+		ServerConns: free * 3 / 10, ClientConns: free - free*3/10,
+		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
 		WriteExtra:  time.Second,
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
@@ -91,7 +91,8 @@
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
 	}
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
-	l.MaxOpen = max(4, min(l.MaxOpen, l.ClientConns-2*l.WantedSpare)) // else held requests would leave no room
+	l.MaxHeld = max(4, min(l.MaxHeld, l.ClientConns-l.WantedSpare)) // else they would leave no room
+	l.MaxOpen = l.MaxHeld * 9 / 10
 	if l.DialTimeout <= 0 {
 		l.DialTimeout, l.ProbeTimeout = time.Second, time.Second
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,8 +30,9 @@
 	text := func(path ...string) string { return string(v.GetStringBytes(path...)) }
 	s := logic.Settings{
 		Self: v.GetInt("me"), Peers: v.GetInt("peers_total"), Zone: text("zone"),
-		MaxAttempts: v.GetInt("caps", "max_attempts"), MaxRetryAfter: ms("caps", "max_retry_after_ms"),
-		MarksRetry: v.GetBool("client_habits", "marks_retry"), CanProbe: v.GetBool("caps", "probes"),
+		MaxAttempts: v.GetInt("caps", "max_attempts"), MaxOpen: v.GetInt("caps", "max_open"),
+		MaxRetryAfter: ms("caps", "max_retry_after_ms"),
+		MarksRetry:    v.GetBool("client_habits", "marks_retry"), CanProbe: v.GetBool("caps", "probes"),
 		CanPost: v.GetBool("caps", "peers"), CanCancel: v.GetBool("caps", "cancel"),
 		AskDiscovery: text("registry_mode") == "subscribe", AskWithin: ms("rules", "ask_within_ms"),
 		Tick: ms("tick_ms"), DrainGrace: ms("rules", "drain_grace_ms"), ColdFrom: v.GetFloat64("rules", "cold_from"),
--- a/logic/api.go
+++ b/logic/api.go
@@ -79,6 +79,7 @@
 	Tenants       []Tenant
 	Rollout       Rollout
 	MaxAttempts   int
+	MaxOpen       int // requests that the host can hold open for it; zero: any number
 	MaxRetryAfter time.Duration
 	MarksRetry    bool // clients mark their repeats
 	CanProbe      bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -594,8 +594,7 @@
 
 // judgeServer draws what an outcome says of the server and of the load.
 func (r *Router) judgeServer(s *server, q *request, e AttemptDone) {
-	failed := e.Outcome == TimedOut || e.Outcome == ServerError
-	blend(&r.failing, symptomStep/4, float64(count(failed)))
+	blend(&r.failing, symptomStep/4, float64(count(e.Outcome == TimedOut || e.Outcome == ServerError)))
 	switch e.Outcome {
 	case OK:
 		s.fails, s.pause, s.until = 0, 0, 0
@@ -673,10 +672,14 @@
 	r.waiting = slices.Insert(r.waiting, i, q)
 }
 
-// drainQueue sends what can go and ends at once what can no longer be served in time.
+// drainQueue sends what can go and ends at once what can no longer be served in time; and what is worth least
+// where more is held than there is room for. Danger: the next ones would be refused unseen.
 func (r *Router) drainQueue() {
+	room := cmp.Or(r.s.MaxOpen, math.MaxInt) - r.inFlight
 	r.waiting = slices.DeleteFunc(r.waiting, func(q *request) bool {
-		if !q.ended && (r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim) {
+		room--
+		late := r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim
+		if !q.ended && (late || room < 0) {
 			r.finish(q)
 		}
 		return q.ended || r.try(q)
@@ -818,12 +821,9 @@
 	if err != nil || m.Stage > len(r.s.Rollout.StageCap) {
 		return
 	}
-	k := peerKey{e.From, m.Incarnation}
-	had := r.peers[k]
-	if m.older(had) {
-		return // come late
+	if k := (peerKey{e.From, m.Incarnation}); !m.older(r.peers[k]) { // else it has come late
+		r.peers[k], r.heard[e.From] = m, m
 	}
-	r.peers[k], r.heard[e.From] = m, m
 }
 
 // ---- The test ----
