--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -35,6 +35,7 @@
 func serve(c config.Config, log *zap.Logger) error {
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
+	debug.SetGCPercent(c.Limits.GCPercent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -134,13 +134,21 @@
 	return true
 }
 
-// crowded tells that more connections stand than the node wants: answers close theirs then.
+// crowded tells that more connections stand than the node wants.
 func (a *conns) crowded() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.present > a.limits.ClientConns-a.limits.WantedSpare
 }
 
+// starved tells that besides none is idle: answers close theirs then. Danger: closed while others are idle,
+// each costs its client a new connection, and new ones come faster than the backlog is taken from.
+func (a *conns) starved() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.present > a.limits.ClientConns-a.limits.WantedSpare && a.idle.Len() == 0
+}
+
 // full tells that there is no descriptor for another.
 func (a *conns) full() bool {
 	a.mu.Lock()
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -117,7 +117,7 @@
 		s.send(w, until, wrong.status, []byte(wrong.text+"\n"))
 		return
 	}
-	if s.conns.crowded() {
+	if s.conns.starved() {
 		w.Header().Set("Connection", "close")
 	}
 	if wait <= waited {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -12,6 +12,7 @@
 type Limits struct {
 	Cores       int   // processors that Go may use
 	MemoryBytes int64 // soft limit of Go's memory
+	GCPercent   int   // growth of the heap between collections, while memory allows
 
 	MaxBody      int // bytes of a body, either way
 	MaxHead      int // bytes of a head, either way
@@ -76,11 +77,11 @@
 	}
 	free := told.Sockets - reserved
 	l := Limits{
-		Cores: max(1, int(told.Cores)), MemoryBytes: int64(told.MemoryMB) * mebibyte * 7 / 10,
+		Cores: max(1, int(told.Cores)), MemoryBytes: int64(told.MemoryMB) * mebibyte * 7 / 10, GCPercent: 400,
 		MaxBody: 64 << 10, MaxHead: 16 << 10, MaxLine: 8 << 10, MaxList: 8 << 20, MaxDatagram: 256,
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
-		ServerConns: free * 3 / 10, ClientConns: free - free*3/10,
+		ServerConns: free / 4, ClientConns: free - free/4,
 		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
 		WriteExtra:  time.Second,
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
@@ -93,7 +94,7 @@
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
 	// Danger: held requests keep their connections; with few left for the rest, each refusal closes one and the
 	// backlog grows faster than it is taken from.
-	l.MaxHeld = max(4, min(l.MaxHeld, l.ClientConns*3/5))
+	l.MaxHeld = max(4, min(l.MaxHeld, l.ClientConns/2))
 	l.MaxOpen = l.MaxHeld * 9 / 10
 	if l.DialTimeout <= 0 {
 		l.DialTimeout, l.ProbeTimeout = time.Second, time.Second
