--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -36,6 +36,9 @@
 	net.Conn
 	all *conns
 
+	writeBy time.Time // the write deadline; touched by the reader alone
+	asked   bool      // a request has come; touched by its handlers alone
+
 	// Guarded by all.mu.
 	waits  *list.Element // among the idle ones: nothing has been read since its last answer
 	idleAt time.Time
@@ -49,6 +52,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		c.allowWrites()
 		c.all.mu.Lock()
 		ending := c.ending
 		c.ending = false
@@ -86,6 +90,26 @@
 	return c.Conn.Close()
 }
 
+// allowWrites gives answers their time. Danger: a client that doesn't read would hold a connection and memory
+// for ever; what stalls for some times the longest wait is cut off, and never sooner. Set anew only as needed,
+// since it costs as much as a read.
+func (c *conn) allowWrites() {
+	stall := c.all.limits.WriteStall
+	if now := time.Now(); c.writeBy.Before(now.Add(stall / 2)) {
+		c.writeBy = now.Add(stall)
+		if c.Conn.SetWriteDeadline(c.writeBy) != nil {
+			c.all.count.Inc("clients.no_deadline") // it has closed
+		}
+	}
+}
+
+// first tells once that this is the connection's first request.
+func (c *conn) first() bool {
+	had := c.asked
+	c.asked = true
+	return !had
+}
+
 // CloseWrite lets net/http end an answer to a request that it could not read, without cutting it off.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/clients/request.go
+++ b/internal/clients/request.go
@@ -178,7 +178,7 @@
 		return nil, nil
 	}
 	in := http.NewResponseController(w)
-	err := in.SetReadDeadline(time.Now().Add(wait + p.limits.WriteExtra))
+	err := in.SetReadDeadline(time.Now().Add(wait + p.limits.BodyExtra))
 	body := make([]byte, max(0, r.ContentLength))
 	if r.ContentLength > 0 {
 		_, readErr := io.ReadFull(r.Body, body)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -76,22 +76,19 @@
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	if own, ok := c.(*conn); ok {
-		return context.WithValue(ctx, connKey{}, own.Conn)
-	}
-	return ctx
+	return context.WithValue(ctx, connKey{}, c)
 }
 
 // connOf is the connection that a request came on, or nil.
-func connOf(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
 	return c
 }
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == pathReady {
-		s.send(w, time.Now().Add(s.limits.WriteExtra), http.StatusOK, nil)
+		s.send(w, http.StatusOK, nil)
 		return
 	}
 	s.count.Inc("requests.taken")
@@ -103,36 +100,39 @@
 		// the client may never see its answer.
 		m.Body, wrong = s.reader.body(w, r, wait)
 	}
+	until := time.Now().Add(wait)
 	// A request's time runs from its last byte. Danger: it may have stood in the kernel's backlog for long, and
 	// would be served after its client has left.
-	waited := sock.SinceReceived(connOf(r.Context()))
-	s.count.Worst("requests.worst_unread_us", waited)
-	until := time.Now().Add(wait - waited)
+	if c := connOf(r.Context()); c != nil && c.first() {
+		unread := sock.SinceReceived(c.Conn)
+		s.count.Worst("requests.worst_unread_us", unread)
+		until = until.Add(-unread)
+	}
 	if wrong != nil {
 		s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
 		s.log.Debug("bad request", zap.Int("status", wrong.status), zap.String("reason", wrong.text))
 		if wrong.status == http.StatusRequestTimeout {
 			w.Header().Set("Connection", "close")
 		}
-		s.send(w, until, wrong.status, []byte(wrong.text+"\n"))
+		s.send(w, wrong.status, []byte(wrong.text+"\n"))
 		return
 	}
 	if s.conns.starved() {
 		w.Header().Set("Connection", "close")
 	}
-	if wait <= waited {
+	if !until.After(time.Now()) {
 		s.count.Inc("requests.over_when_read")
-		s.answer(w, exchange.Answer{Status: exchange.TimedOut}, until)
+		s.answer(w, exchange.Answer{Status: exchange.TimedOut})
 		return
 	}
 	if full {
 		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
 		// sent for this request, so a refusal is in order whatever its class.
 		s.count.Inc("requests.refused_full")
-		s.answer(w, exchange.Answer{Status: exchange.Refused}, until)
+		s.answer(w, exchange.Answer{Status: exchange.Refused})
 		return
 	}
-	s.answer(w, s.wait(r.Context(), m, f, until), until)
+	s.answer(w, s.wait(r.Context(), m, f, until))
 }
 
 // wait gets the final answer. Danger: a host, the loop or the decisions may hang; the node itself answers
@@ -163,7 +163,7 @@
 }
 
 // answer writes the final answer, whole.
-func (s *Server) answer(w http.ResponseWriter, a exchange.Answer, until time.Time) {
+func (s *Server) answer(w http.ResponseWriter, a exchange.Answer) {
 	status := http.StatusBadGateway
 	switch a.Status {
 	case exchange.Served:
@@ -181,23 +181,15 @@
 	default:
 		s.count.Inc("answers.failed")
 	}
-	s.send(w, until, status, a.Body)
+	s.send(w, status, a.Body)
 }
 
-// send writes an answer whole. Danger: a client that doesn't read would hold a connection and memory for
-// ever; it is cut off some time after it has stopped waiting, and never sooner.
-func (s *Server) send(w http.ResponseWriter, until time.Time, status int, body []byte) {
-	out := http.NewResponseController(w)
-	if now := time.Now(); until.Before(now) {
-		until = now
-	}
-	err := out.SetWriteDeadline(until.Add(s.limits.WriteExtra))
+// send writes an answer whole.
+func (s *Server) send(w http.ResponseWriter, status int, body []byte) {
 	w.Header()["Content-Type"] = nil // the host's type is not known, and none is to be guessed
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, writeErr := w.Write(body)
-	// The deadline is taken back for the connection's next request.
-	if err := errors.Join(err, writeErr, out.Flush(), out.SetWriteDeadline(time.Time{})); err != nil {
+	if _, err := w.Write(body); err != nil {
 		s.count.Inc("answers.broken")
 	}
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -33,7 +33,8 @@
 	MaxWait      time.Duration // the longest time that a client may say it waits
 	AnswerMargin time.Duration // before a client's time is over, the decisions' time is
 	LastMargin   time.Duration // before a client's time is over, the node answers by itself
-	WriteExtra   time.Duration // beyond a client's time, a slow reader is cut off
+	BodyExtra    time.Duration // beyond a client's time, a body that has not come is given up
+	WriteStall   time.Duration // a client that reads nothing for longer is cut off; half of it at the least
 	DialTimeout  time.Duration // for a connection to a server
 	ProbeTimeout time.Duration // for a probe of a server
 	ServerIdle   time.Duration // idle connections to servers are closed after this
@@ -83,7 +84,7 @@
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
 		ServerConns: free / 4, ClientConns: free - free/4,
 		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
-		WriteExtra:  time.Second,
+		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,16 +199,19 @@
 	g.parts = parts
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
+	armed := time.Duration(0)
 	for {
 		g.fire()
-		wake.Reset(g.timers.wait(g.clock.Now()))
+		if at := g.timers.next(); at != armed {
+			armed = at
+			wake.Reset(at - g.clock.Now())
+		}
 		select {
 		case e := <-g.events:
-			began := time.Now()
-			g.count.Worst("loop.worst_wait_us", began.Sub(e.at))
+			g.count.Worst("loop.worst_wait_us", time.Since(e.at))
 			g.take(e.what)
-			g.count.Worst("loop.worst_event_us", time.Since(began))
 		case <-wake.C:
+			armed = 0
 		case <-ctx.Done():
 			return
 		}
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"strconv"
 	"time"
 
@@ -18,7 +19,7 @@
 // timers is a queue of timers by time. It implements heap.Interface.
 type timers struct {
 	list []timer
-	next uint64
+	sets uint64 // how often one was set
 }
 
 func (t *timers) Len() int { return len(t.list) }
@@ -36,8 +37,8 @@
 
 // set adds a timer.
 func (t *timers) set(at time.Duration, token uint64) {
-	t.next++
-	heap.Push(t, timer{at, t.next, token})
+	t.sets++
+	heap.Push(t, timer{at, t.sets, token})
 }
 
 // due takes the first timer whose time has come.
@@ -48,12 +49,12 @@
 	return heap.Pop(t).(timer), true
 }
 
-// wait is how long nothing is due.
-func (t *timers) wait(now time.Duration) time.Duration {
+// next is when something is due; far off where nothing is.
+func (t *timers) next() time.Duration {
 	if len(t.list) == 0 {
-		return time.Hour
+		return math.MaxInt64
 	}
-	return max(0, t.list[0].at-now)
+	return t.list[0].at
 }
 
 // requestID names a request by this process's own serial.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -2,6 +2,7 @@
 package metrics
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,29 +11,34 @@
 	"go.uber.org/zap"
 )
 
-// Registry holds all counters by name.
+// Registry holds all counters by name. Reading the table takes no lock: it is replaced when a name is new.
 type Registry struct {
-	mu    sync.RWMutex
-	count map[string]*atomic.Int64
+	mu    sync.Mutex
+	count atomic.Pointer[map[string]*atomic.Int64]
 }
 
 // New makes an empty registry.
-func New() *Registry { return &Registry{count: map[string]*atomic.Int64{}} }
+func New() *Registry {
+	r := &Registry{}
+	r.count.Store(&map[string]*atomic.Int64{})
+	return r
+}
 
 // at finds a counter, or makes it.
 func (r *Registry) at(name string) *atomic.Int64 {
-	r.mu.RLock()
-	c := r.count[name]
-	r.mu.RUnlock()
-	if c != nil {
+	if c := (*r.count.Load())[name]; c != nil {
 		return c
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.count[name] == nil {
-		r.count[name] = new(atomic.Int64)
+	have := *r.count.Load()
+	if have[name] == nil {
+		grown := maps.Clone(have)
+		grown[name] = new(atomic.Int64)
+		r.count.Store(&grown)
+		have = grown
 	}
-	return r.count[name]
+	return have[name]
 }
 
 // Add counts n more of a kind; names are fixed texts, "what.outcome", never taken from a peer.
@@ -57,13 +63,7 @@
 
 // Log prints all counters on one line, by name.
 func (r *Registry) Log(log *zap.Logger, why string) {
-	r.mu.RLock()
-	names := make([]string, 0, len(r.count))
-	for name := range r.count {
-		names = append(names, name)
-	}
-	r.mu.RUnlock()
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(*r.count.Load()))
 	fields := []zap.Field{zap.String("why", why)}
 	for _, name := range names {
 		fields = append(fields, zap.Int64(name, r.Get(name)))
