--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinarch/logic"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:8000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.4:7946",
+ "peers":["127.3.0.1:7946","127.3.0.2:7946"],"peers_all":"127.3.255.1:7946",
+ "pipeline":{"address":"127.2.0.2:6400","news":{"release":42}},"known":{"seq":41,"whole":true,"hosts":[]},
+ "settings":{"me":1,"peers_total":2,"zone":"a","classes":[{"name":"c","repeat":"safe","deadline_ms":1670.0}],
+  "caps":{"max_open":20000,"conn_idle_ms":30000.0,"dial_timeout_ms":250.0},"rules":{"drain_grace_ms":1000.0},
+  "family_info":{"api_timeout_ms":800.0}}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.4:8000" || c.Discovery != "127.2.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+		len(c.Peers) != 2 || c.PeersAll == "" || c.Platform != "127.2.0.2:6400" || c.News == nil || c.Known == nil ||
+		c.Settings.Self != 1 || c.Settings.Classes[0].Repeat != logic.Safe {
+		t.Errorf("%+v", c)
+	}
+	l := c.Limits
+	if l.DialTimeout != 250*time.Millisecond || l.VoteTimeout != 800*time.Millisecond || l.ServerIdle >= 30*time.Second ||
+		l.SendGrace >= time.Second || l.DrainLast < 1670*time.Millisecond {
+		t.Errorf("limits %+v", l)
+	}
+	// The module is told what the node can hold, not what the settings allow any router.
+	if c.Settings.MaxOpen != l.MaxOpen || l.MaxOpen >= l.MaxHeld || l.MaxHeld >= l.ClientConns {
+		t.Errorf("the module may hold %d, the node %d on %d connections", c.Settings.MaxOpen, l.MaxHeld, l.ClientConns)
+	}
+}
+
+func TestEnvironmentComesFirst(t *testing.T) {
+	env := map[string]string{"LB_NAME": "other", "LB_LISTEN": "127.0.0.9:1", "LB_DISCOVERY": "127.0.0.9:2"}
+	c, err := Parse([]byte(good), func(k string) string { return env[k] })
+	if err != nil || c.Name != "other" || c.Listen != "127.0.0.9:1" || c.Discovery != "127.0.0.9:2" {
+		t.Errorf("%+v %v", c, err)
+	}
+}
+
+// Whatever the limits, all descriptors that may be in use together fit in.
+func TestDescriptorsFit(t *testing.T) {
+	for _, sockets := range []int{40, 64, 100, 256, 1024, 4096} {
+		for _, memory := range []int{24, 64, 192, 2048} {
+			l, err := newLimits(Told{Cores: 0.5, MemoryMB: memory, Sockets: sockets}, logic.Settings{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if l.ClientConns+l.ServerConns+reserved > sockets || l.ServerConns < 1 || l.ClientConns < l.MaxHeld ||
+				l.MaxOpen < 1 || l.MaxHeld < l.MaxOpen || l.DialTimeout <= 0 || l.ServerIdle <= 0 || l.VoteTimeout <= 0 {
+				t.Errorf("%d sockets, %d MB: %+v", sockets, memory, l)
+			}
+			if int64(l.MaxHeld*requestBytes) > int64(memory)<<20 {
+				t.Errorf("%d MB: %d requests of %d bytes", memory, l.MaxHeld, requestBytes)
+			}
+		}
+	}
+}
+
+func TestRejected(t *testing.T) {
+	cases := []struct{ name, from, to, want string }{
+		{"not JSON", good, "{", "not JSON"},
+		{"not an object", good, "[]", "not an object"},
+		{"no settings", `"settings"`, `"other"`, "settings"},
+		{"no classes", `"classes"`, `"other"`, "classes"},
+		{"unknown repeat", `"safe"`, `"odd"`, "repeat"},
+		{"no listen", `"listen"`, `"other"`, "LB_LISTEN"},
+		{"impossible listen", `127.0.0.4:8000`, `127.0.0.4:99999`, "listen"},
+		{"no discovery", `"discovery"`, `"other"`, "LB_DISCOVERY"},
+		{"a name for an address", `127.2.0.1:8500`, `discovery:8500`, "discovery"},
+		{"impossible platform", `127.2.0.2:6400`, `127.2.0.2`, "pipeline.address"},
+		{"impossible peer", `127.3.0.2:7946`, `x`, "peers[1]"},
+		{"no memory", `"memory_mb":192`, `"memory_mb":1`, "memory_mb 1"},
+		{"no sockets", `"sockets":1024`, `"sockets":3`, "sockets 3"},
+		{"no cores", `"cores":1.0`, `"cores":0`, "cores 0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), none)
+			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %v, want one line that names %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path, none); err != nil {
+		t.Error(err)
+	}
+	if _, err := Load("", func(k string) string { return map[string]string{EnvFile: path}[k] }); err != nil {
+		t.Error(err)
+	}
+	if _, err := Load("", none); err == nil || !strings.Contains(err.Error(), EnvFile) {
+		t.Errorf("error %v", err)
+	}
+	if _, err := Load(path+".none", none); err == nil {
+		t.Error("a missing file is taken")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"settings":{"classes":[{"repeat":"safe"}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if c, err := Parse(data, none); err == nil && (c.Listen == "" || c.Limits.MaxHeld < 1) {
+			t.Errorf("taken: %+v", c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,120 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/metrics"
+	"merlinarch/logic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second // far beyond what any step takes; only a defect waits so long
+
+type heard chan logic.PeerMessage
+
+func (h heard) Heard(m logic.PeerMessage) { h <- m }
+
+func (h heard) await(t *testing.T) logic.PeerMessage {
+	t.Helper()
+	select {
+	case m := <-h:
+		return m
+	case <-time.After(patience):
+		t.Fatal("nothing was heard")
+		return logic.PeerMessage{}
+	}
+}
+
+func socket(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// start opens a router's socket with one peer, number 1, and an address for all.
+func start(t *testing.T, peer, all string) (*Peers, *net.UDPAddr, heard, *metrics.Registry) {
+	t.Helper()
+	count := metrics.New()
+	p, err := Listen("127.0.0.1:0", []string{"127.0.0.1:1", peer}, all, config.Limits{MaxDatagram: 256, MaxOutgoing: 4},
+		count, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	h := make(heard, 16)
+	var work sync.WaitGroup
+	work.Go(func() { p.Run(ctx, h) })
+	t.Cleanup(func() { stop(); work.Wait() })
+	return p, p.conn.LocalAddr().(*net.UDPAddr), h, count
+}
+
+// Messages of peers arrive with their numbers; what is too long or from a stranger is counted and dropped.
+func TestReceive(t *testing.T) {
+	peer, stranger := socket(t), socket(t)
+	_, addr, h, count := start(t, peer.LocalAddr().String(), "")
+	for _, d := range []struct {
+		from *net.UDPConn
+		data []byte
+	}{{stranger, []byte("who")}, {peer, make([]byte, 257)}, {peer, make([]byte, 2000)}, {peer, nil}, {peer, []byte("hi")}} {
+		if _, err := d.from.WriteToUDP(d.data, addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m := h.await(t); m.From != 1 || len(m.Data) != 0 {
+		t.Errorf("%+v", m)
+	}
+	if m := h.await(t); m.From != 1 || string(m.Data) != "hi" {
+		t.Errorf("%+v", m)
+	}
+	if s, l := count.Get("peers.unknown_sender"), count.Get("peers.too_long"); s != 1 || l != 2 {
+		t.Errorf("%d strangers, %d too long", s, l)
+	}
+}
+
+// Messages leave from the router's own address; none longer than peers take, none to nobody.
+func TestSend(t *testing.T) {
+	peer, all := socket(t), socket(t)
+	p, addr, _, count := start(t, peer.LocalAddr().String(), all.LocalAddr().String())
+	p.Post(logic.Post{Peer: 1, Data: make([]byte, 257)})
+	p.Post(logic.Post{Peer: 2, Data: []byte("nobody")})
+	p.Post(logic.Post{Peer: 1, Data: []byte("one")})
+	p.Post(logic.Post{Peer: -1, Data: []byte("all")})
+	for c, want := range map[*net.UDPConn]string{peer: "one", all: "all"} {
+		if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 512)
+		n, from, err := c.ReadFromUDP(buf)
+		if err != nil || string(buf[:n]) != want || from.Port != addr.Port {
+			t.Errorf("%q from %v: %v", buf[:n], from, err)
+		}
+	}
+	if count.Get("peers.not_sent") != 1 || count.Get("peers.unknown_peer") != 1 {
+		t.Error("bad messages are not counted")
+	}
+}
+
+func TestListenErrors(t *testing.T) {
+	taken := socket(t)
+	for _, c := range []struct{ listen, peer, all string }{
+		{"nowhere", "127.0.0.1:1", ""}, {"127.0.0.1:0", "nobody", ""}, {"127.0.0.1:0", "127.0.0.1:1", "x"},
+		{taken.LocalAddr().String(), "127.0.0.1:1", ""}} {
+		if p, err := Listen(c.listen, []string{c.peer}, c.all, config.Limits{}, metrics.New(), zap.NewNop()); err == nil {
+			p.conn.Close()
+			t.Errorf("%+v is taken", c)
+		}
+	}
+}
