--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Tasks of everyday work. `make test` runs what CI runs.
+
+CONFIG ?= $(LB_CONFIG)
+FUZZ_TIME ?= 10s
+FUZZ = internal/clients:FuzzHead internal/config:FuzzParse internal/discovery:FuzzDecode \
+	internal/platform:FuzzLines internal/servers:FuzzReadResponse internal/wire:FuzzDecode logic:FuzzDecodeReport
+
+.PHONY: build test lint run check fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	./test.sh
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal logic); if [ -n "$$unformatted" ]; then echo "gofmt wanted for: $$unformatted"; exit 1; fi
+	go vet ./...
+
+run: build
+	bin/merlinarch serve -config "$(CONFIG)"
+
+check: build
+	bin/merlinarch check -config "$(CONFIG)"
+
+fuzz:
+	@for t in $(FUZZ); do go test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}$$" -fuzztime $(FUZZ_TIME) || exit 1; done
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -7,17 +7,23 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 
+	"go.uber.org/zap"
+
+	"merlinarch/internal/logging"
 	"merlinarch/internal/wire"
 	"merlinarch/logic"
 )
 
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log, err := logging.New("info")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		slog.Error("drill stopped", "err", err)
+		log.Error("drill stopped", zap.Error(err))
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/cmd/merlinarch/main_test.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"merlinarch/internal/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second // far beyond what any step takes; only a defect waits so long
+
+// town is everything that a router speaks with, on loopback.
+type town struct {
+	host, discovery *httptest.Server
+	platform        net.Listener
+	work            sync.WaitGroup
+	mu              sync.Mutex
+	seen            []string // ids that the host has met
+}
+
+func newTown(t *testing.T) *town {
+	t.Helper()
+	w := &town{}
+	w.host = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.mu.Lock()
+		w.seen = append(w.seen, r.Header.Get("X-Txn"))
+		w.mu.Unlock()
+		if strings.Contains(r.RequestURI, "slow") {
+			time.Sleep(300 * time.Millisecond)
+		}
+		fmt.Fprintf(rw, "%s %s %s", r.Method, r.RequestURI, body)
+	}))
+	w.discovery = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		io.WriteString(rw, "\n")
+		http.NewResponseController(rw).Flush()
+		<-r.Context().Done()
+	}))
+	var err error
+	if w.platform, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	w.work.Go(func() {
+		for {
+			c, err := w.platform.Accept()
+			if err != nil {
+				return
+			}
+			w.work.Go(func() {
+				defer c.Close()
+				for lines := bufio.NewScanner(c); lines.Scan(); {
+					io.WriteString(c, "OK\r\n* news 42 0 released 1 5\r\n")
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		w.platform.Close()
+		w.discovery.CloseClientConnections()
+		w.discovery.Close()
+		w.host.Close()
+		w.work.Wait()
+	})
+	return w
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// configuration writes a router's file, with a host known.
+func (w *town) configuration(t *testing.T, listen string) string {
+	t.Helper()
+	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	data, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": addr(w.discovery), "seed": "1f",
+		"limits":      map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:7946"},
+		"pipeline": map[string]any{"address": w.platform.Addr().String(), "news": map[string]any{"release": 42,
+			"tranche": 0, "mode": "released", "exposure": 1, "old_ms": 0}},
+		"known": map[string]any{"seq": 1, "whole": true, "hosts": []any{map[string]any{"host": "s-1",
+			"dial": addr(w.host), "site": "a", "block": 0, "health": "up", "share": 1.0, "born_ms": 0, "build": 42}}},
+		"settings": map[string]any{"me": 0, "peers_total": 1, "zone": "a", "classes": []any{
+			map[string]any{"name": "read", "repeat": "safe", "aim_ms": 5000.0, "deadline_ms": 5000.0, "worth": 1.0}},
+			"caps":  map[string]any{"max_attempts": 3, "conn_idle_ms": 10000.0, "dial_timeout_ms": 1000.0},
+			"rules": map[string]any{"drain_grace_ms": 1000.0}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func none(string) string { return "" }
+
+func get(addr, target, id string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+target, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("X-Txn", id)
+	req.Header.Set("X-Lane", "read")
+	req.Header.Set("X-Remaining-Ms", "4000")
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// A router serves from what it knew, prints its counters when asked, and ends on SIGTERM without losing what
+// it has taken, also what comes just after.
+func TestServeAndEnd(t *testing.T) {
+	w := newTown(t)
+	listen := freeAddr(t)
+	c, err := config.Load(w.configuration(t, listen), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	done := make(chan error, 1)
+	go func() { done <- serve(c, zap.New(core)) }()
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if status, _, err := get(listen, "/-/ready", "r"); err == nil && status == 200 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the router does not get ready")
+		}
+	}
+	if status, body, err := get(listen, "/api?x=1", "one"); err != nil || status != 200 || body != "GET /api?x=1 " {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGUSR1); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); logs.FilterMessage("counters").Len() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no counters")
+		}
+	}
+	if n := logs.FilterMessage("counters").All()[0].ContextMap()["answers.served"]; n != int64(1) {
+		t.Errorf("counters say %v answers were served", n)
+	}
+	results := make(chan string, 2)
+	fetch := func(id string) {
+		status, _, err := get(listen, "/api?slow", id)
+		results <- fmt.Sprint(status, err)
+	}
+	go fetch("two")
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		n := len(w.seen)
+		w.mu.Unlock()
+		if n == 2 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the request does not arrive")
+		}
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	go fetch("three") // on a connection that comes after the signal
+	for range 2 {
+		if got := <-results; got != "200 <nil>" {
+			t.Errorf("a request at the end: %s", got)
+		}
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the router does not end")
+	}
+	if logs.FilterMessage("counters").Len() != 2 {
+		t.Error("no counters at the end")
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	w := newTown(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	good, busy := w.configuration(t, freeAddr(t)), w.configuration(t, taken.Addr().String())
+	broken := filepath.Join(t.TempDir(), "broken.json")
+	if err := os.WriteFile(broken, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		args    []string
+		code    int
+		out, er string // what each must hold
+	}{
+		{nil, 2, "", "usage"},
+		{[]string{"help"}, 0, "SIGTERM", ""},
+		{[]string{"version"}, 0, "merlinarch", ""},
+		{[]string{"dance"}, 2, "", "unknown command"},
+		{[]string{"check", "-config", good}, 0, "good", ""},
+		{[]string{"check", "-config", broken}, 2, "", "not JSON"},
+		{[]string{"check"}, 2, "", "LB_CONFIG is not set"},
+		{[]string{"check", "-config", good, "more"}, 2, "", "unexpected"},
+		{[]string{"check", "-odd"}, 2, "", "odd"},
+		{[]string{"serve", "-config", broken + ".none"}, 2, "", "no such file"},
+		{[]string{"serve", "-config", good, "-log-level", "loud"}, 2, "", "log level"},
+		{[]string{"serve", "-config", busy, "-log-level", "error"}, 1, "", "address already in use"},
+	}
+	for _, c := range cases {
+		t.Run(strings.Join(c.args[:min(1, len(c.args))], ""), func(t *testing.T) {
+			var out, er bytes.Buffer
+			if code := run(c.args, &out, &er, none); code != c.code || !strings.Contains(out.String(), c.out) ||
+				!strings.Contains(er.String(), c.er) {
+				t.Errorf("%v: code %d, out %q, err %q", c.args, code, out.String(), er.String())
+			}
+			if c.code == 2 && c.args != nil && c.args[0] == "check" && c.er != "odd" && strings.Count(er.String(), "\n") != 1 {
+				t.Errorf("%v: not one line: %q", c.args, er.String())
+			}
+		})
+	}
+}
--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -40,26 +40,28 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
 	count, clock := metrics.New(), gateway.NewClock()
-	gw := gateway.New(logic.New(c.Settings, c.Seed), c.Limits, clock, count, log)
-	pool := servers.New(c.Limits, count)
-	parts := gateway.Parts{Servers: pool, Platform: nobody{count}, Peers: nobody{count}}
-	var work sync.WaitGroup
-	start := func(run func()) { work.Go(run) }
-
+	listen, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listen.Close()
+	parts := gateway.Parts{Platform: nobody{count}, Peers: nobody{count}}
+	var others *peers.Peers
 	if c.PeerListen != "" {
-		p, err := peers.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Limits, count, log)
-		if err != nil {
+		if others, err = peers.Listen(c.PeerListen, c.Peers, c.PeersAll, c.Limits, count, log); err != nil {
 			return err
 		}
-		parts.Peers = p
-		start(func() { p.Run(ctx, gw) })
+		parts.Peers = others
 	}
-	listen, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	gw := gateway.New(logic.New(c.Settings, c.Seed), c.Limits, clock, count, log)
+	pool := servers.New(c.Limits, count)
+	parts.Servers = pool
+	var work sync.WaitGroup
+	if others != nil {
+		work.Go(func() { others.Run(ctx, gw) })
 	}
 	watcher := discovery.New(c.Discovery, c.Limits, clock, gw, count, log)
 	if c.Known != nil { // the module's first event is the list, the next the platform's news
@@ -75,10 +77,10 @@
 		} else {
 			log.Warn("starting without news of the newest build", zap.Error(err))
 		}
-		start(func() { desk.Run(ctx) })
+		work.Go(func() { desk.Run(ctx) })
 	}
-	start(func() { gw.Run(ctx, parts) })
-	start(func() { watcher.Run(ctx) })
+	work.Go(func() { gw.Run(ctx, parts) })
+	work.Go(func() { watcher.Run(ctx) })
 
 	front := clients.New(c.Limits, c.Settings, gw, count, log)
 	served := make(chan error, 1)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -66,10 +66,11 @@
 	time.Sleep(s.limits.DrainClosing - s.limits.DrainTaking)
 	ctx, stop := context.WithTimeout(context.Background(), s.limits.DrainLast)
 	defer stop()
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("finish what was taken: %w", err)
+	err := s.http.Shutdown(ctx)
+	if err == nil || s.open.Load() == 0 { // connections that never brought a request hold nobody up
+		return s.http.Close()
 	}
-	return nil
+	return fmt.Errorf("finish what was taken: %w", err)
 }
 
 // connKey is the key of a request's connection in its context.
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -470,6 +470,18 @@
 	}
 }
 
+// A connection that never brings a request does not keep the router from ending well.
+func TestDrainWithSilentConnection(t *testing.T) {
+	limits := testLimits()
+	limits.DrainLast = 50 * time.Millisecond
+	addr, s, count := start(t, limits, &loop{})
+	dial(t, addr)
+	waitFor(t, "the connection", func() bool { return count.Get("clients.connections") == 1 })
+	if err := s.Drain(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestReady(t *testing.T) {
 	addr, _, _ := start(t, testLimits(), &loop{})
 	c := dial(t, addr)
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -431,3 +431,40 @@
 		}
 	}
 }
+
+// A host that holds no more requests refuses the next ones whatever they are worth; so the router lets go of
+// what is worth least in time.
+func TestWorthLeastIsLetGoWhereHostIsFull(t *testing.T) {
+	s := testSettings()
+	s.MaxOpen = 12
+	g := ready(t, s, host(1), host(2))
+	out := 0
+	for i := range 30 { // the limit leaves most of them waiting
+		out += len(g.arrive(fmt.Sprintf("read-%d", i), "read", 4*time.Second))
+		out += len(g.arrive(fmt.Sprintf("once-%d", i), "once", 4*time.Second))
+	}
+	g.pass(2 * tickEvery)
+	held := 60 - len(g.finals)
+	if held > s.MaxOpen || held < out {
+		t.Errorf("%d requests held, %d of them out, with room for %d", held, out, s.MaxOpen)
+	}
+	reads, others := 0, 0
+	for id := range g.refused {
+		if strings.HasPrefix(string(id), "read") {
+			reads++
+		} else {
+			others++
+		}
+	}
+	if len(g.finals) != len(g.refused) || reads <= others {
+		t.Errorf("of %d let go %d refused: %d reads, %d of more worth", len(g.finals), len(g.refused), reads, others)
+	}
+	s.MaxOpen = 0 // any number
+	g = ready(t, s, host(1), host(2))
+	for i := range 60 {
+		g.arrive(fmt.Sprint(i), "read", 4*time.Second)
+	}
+	if g.pass(2 * tickEvery); len(g.finals) != 0 {
+		t.Errorf("%d let go without a limit", len(g.finals))
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Formatting, vet, build and tests (the limits on the policy file are among the tests).
+# Formatting, vet, build and tests with the race detector (the limits on the policy file are among the tests; fuzz
+# targets run on their seeds).
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal logic)
@@ -10,4 +11,4 @@
 go vet ./...
 mkdir -p bin
 go build -o bin/ ./cmd/...
-go test -count=1 ./...
+go test -race -count=1 ./...
