--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -139,12 +139,13 @@
 // wait gets the final answer. Danger: a host, the loop or the decisions may hang; the node itself answers
 // before the client's time is over.
 func (s *Server) wait(gone context.Context, m exchange.Message, f exchange.Fields, until time.Time) exchange.Answer {
-	ex := exchange.New(m, f, until.Add(-s.limits.AnswerMargin))
+	answer, last := s.limits.Margins(time.Until(until))
+	ex := exchange.New(m, f, until.Add(-answer))
 	if err := s.gateway.Submit(ex); err != nil {
 		return exchange.Answer{Status: exchange.Refused} // nothing was sent for it
 	}
-	last := time.NewTimer(time.Until(until) - s.limits.LastMargin)
-	defer last.Stop()
+	over := time.NewTimer(time.Until(until) - last)
+	defer over.Stop()
 	left := gone.Done()
 	for {
 		select {
@@ -154,7 +155,7 @@
 			s.count.Inc("requests.client_left")
 			s.gateway.Left(ex)
 			left = nil
-		case <-last.C:
+		case <-over.C:
 			if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
 				s.count.Inc("requests.answered_by_node")
 				s.gateway.Left(ex)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -31,8 +31,8 @@
 
 	IdleLeast    time.Duration // a client's connection idle for less is not closed for want of room
 	MaxWait      time.Duration // the longest time that a client may say it waits
-	AnswerMargin time.Duration // before a client's time is over, the decisions' time is
-	LastMargin   time.Duration // before a client's time is over, the node answers by itself
+	AnswerMargin time.Duration // before a client's time is over, the decisions' time is; see Margins
+	LastMargin   time.Duration // before a client's time is over, the node answers by itself; see Margins
 	BodyExtra    time.Duration // beyond a client's time, a body that has not come is given up
 	WriteStall   time.Duration // a client that reads nothing for longer is cut off; half of it at the least
 	DialTimeout  time.Duration // for a connection to a server
@@ -83,7 +83,8 @@
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
 		ServerConns: free / 4, ClientConns: free - free/4,
-		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), AnswerMargin: 30 * time.Millisecond, LastMargin: 12 * time.Millisecond,
+		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), 
+		AnswerMargin: 80 * time.Millisecond, LastMargin: 50 * time.Millisecond,
 		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
@@ -108,3 +109,9 @@
 	}
 	return l, nil
 }
+
+// Margins gives AnswerMargin and LastMargin for a client that waits so long: a small part of a short wait.
+// Danger: on a busy machine an answer takes its time from the loop to the client, and must not come late.
+func (l Limits) Margins(wait time.Duration) (answer, last time.Duration) {
+	return min(l.AnswerMargin, wait/8), min(l.LastMargin, wait/12)
+}
