--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -83,7 +83,7 @@
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
 		ServerConns: free / 4, ClientConns: free - free/4,
-		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second), 
+		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second),
 		AnswerMargin: 80 * time.Millisecond, LastMargin: 50 * time.Millisecond,
 		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
