--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -28,16 +28,9 @@
 // attempt runs one attempt to its end. By the time it returns, the connection is idle or closed. Danger: an
 // attempt that was given up must not be out on an open connection when the next one leaves.
 func (p *Pool) attempt(ctx context.Context, a gateway.Attempt) gateway.Result {
-	h := p.lookup(a.Server)
-	if h == nil {
-		return gateway.Result{Outcome: logic.NotSent}
-	}
-	c := p.take(h)
+	h, c, failed := p.connection(ctx, a.Server)
 	if c == nil {
-		var err error
-		if c, err = p.connect(ctx, h); err != nil {
-			return gateway.Result{Outcome: p.unsent(ctx, err)}
-		}
+		return gateway.Result{Outcome: failed}
 	}
 	// Danger: the request may have ended, or the host begun to drain, while the connection was made.
 	if a.Exchange.Ended() || ctx.Err() != nil || p.late(h, a.Decided) {
@@ -48,13 +41,25 @@
 	return p.exchange(ctx, h, c, request(a))
 }
 
-// unsent is the outcome of an attempt whose connection was not made. Danger: short of descriptors, or when
-// its own time is over, the node would blame the host.
-func (p *Pool) unsent(ctx context.Context, err error) logic.Outcome {
-	if errors.Is(err, errNoDescriptor) || ctx.Err() != nil {
-		return logic.NotSent
+// connection finds a server's idle connection or makes one; without, the outcome tells why. Danger: short of
+// descriptors, or when the attempt's own time is over, the node would blame the host.
+func (p *Pool) connection(ctx context.Context, server logic.ServerID) (*host, *conn, logic.Outcome) {
+	h := p.lookup(server)
+	if h == nil {
+		return nil, nil, logic.NotSent
+	}
+	if c := p.take(h); c != nil {
+		return h, c, logic.OK
+	}
+	c, err := p.connect(ctx, h)
+	switch {
+	case err == nil:
+		return h, c, logic.OK
+	case errors.Is(err, errNoDescriptor) || ctx.Err() != nil:
+		return h, nil, logic.NotSent
+	default:
+		return h, nil, logic.ConnectFailed
 	}
-	return logic.ConnectFailed
 }
 
 // exchange writes a request and waits for its answer. The outcome turns on the last byte: a break before it
@@ -139,16 +144,9 @@
 }
 
 func (p *Pool) probe(ctx context.Context, server logic.ServerID) gateway.Result {
-	h := p.lookup(server)
-	if h == nil {
-		return gateway.Result{Outcome: logic.NotSent}
-	}
-	c := p.take(h)
+	h, c, failed := p.connection(ctx, server)
 	if c == nil {
-		var err error
-		if c, err = p.connect(ctx, h); err != nil {
-			return gateway.Result{Outcome: p.unsent(ctx, err)}
-		}
+		return gateway.Result{Outcome: failed}
 	}
 	r := p.exchange(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+service+"\r\n\r\n"))
 	if r.Load == nil && r.Outcome == logic.OK {
