--- a/logic/logic.go
+++ b/logic/logic.go
@@ -241,9 +241,7 @@
 // draws traffic; a silent one holds it. Covers dead, silent, cut-off and failing servers alike. Danger:
 // requests that fail anywhere would pause all, so a run must be unlikely at the usual part of failures.
 func (r *Router) blame(s *server, sure bool) {
-	s.fails++
-	usual := math.Pow(max(r.failing, failsLeast), float64(s.fails))
-	if sure || usual < suspectChance {
+	if s.fails++; sure || math.Pow(max(r.failing, failsLeast), float64(s.fails)) < suspectChance {
 		s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
 		s.until = r.now + s.pause
 	}
@@ -407,14 +405,10 @@
 
 // repeatOK tells whether an attempt at this server would keep the rule on repeats.
 func (r *Router) repeatOK(q *request, s *server) bool {
-	if !q.mayRan || q.class.Repeat == Safe {
-		return true
-	}
-	if q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow {
-		return false
-	}
-	return q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
+	over := q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow
+	same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
 		q.class.Scope == ScopeCell && s.Cell == q.ranOn.Cell
+	return !q.mayRan || q.class.Repeat == Safe || !over && same
 }
 
 // choose finds the server for a request's next attempt, or nil where it has to wait.
@@ -488,8 +482,7 @@
 		if blend(&q.class.pinned, 0.02, float64(count(pinned))); pinned {
 			return
 		}
-		_, stage := r.trialCap(r.trialID)
-		if stage < r.s.Rollout.ClosedStages && r.seen[q.Key] > stickySeen {
+		if _, stage := r.trialCap(r.trialID); stage < r.s.Rollout.ClosedStages && r.seen[q.Key] > stickySeen {
 			return
 		}
 		chance = max(0, chance-q.class.pinned)
@@ -673,16 +666,23 @@
 }
 
 // drainQueue sends what can go and ends at once what can no longer be served in time; and what is worth least
-// where more is held than there is room for. Danger: the next ones would be refused unseen.
+// where more is held than there is room for, else the next ones would be refused unseen. Danger: where no
+// server may be used, a search for each that waits takes all the time; one tries for all that fare alike.
 func (r *Router) drainQueue() {
 	room := cmp.Or(r.s.MaxOpen, math.MaxInt) - r.inFlight
+	r.pass++
 	r.waiting = slices.DeleteFunc(r.waiting, func(q *request) bool {
 		room--
 		late := r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim
 		if !q.ended && (late || room < 0) {
 			r.finish(q)
 		}
-		return q.ended || r.try(q)
+		stuck := &q.class.stuck[count(q.draw)+2*count(q.luck < r.gate)]
+		if q.ended || (q.attempts > 0 || *stuck != r.pass) && r.try(q) {
+			return true
+		}
+		*stuck = max(*stuck, r.pass*uint64(count(q.attempts == 0)))
+		return false
 	})
 }
 
@@ -863,11 +863,10 @@
 func walk(mu []float64, scale float64, up bool) float64 {
 	sum := 0.0
 	for i, v := range mu {
-		if i == 0 && up || i > 0 && sum > 0 {
-			sum += v * scale
-		} else {
-			sum -= v * scale
+		if i == 0 && !up || i > 0 && sum <= 0 {
+			v = -v
 		}
+		sum += v * scale
 	}
 	return sum
 }
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -468,3 +469,36 @@
 		t.Errorf("%d let go without a limit", len(g.finals))
 	}
 }
+
+// draws counts what a router draws by chance.
+type draws struct {
+	src rand.Source
+	n   int
+}
+
+func (d *draws) Uint64() uint64 { d.n++; return d.src.Uint64() }
+
+// Danger: where no server may be used, a search for each of many requests that wait takes all the time.
+func TestOneSearchForAllThatFareAlike(t *testing.T) {
+	s := testSettings()
+	g := ready(t, s, host(1, started(origin)), host(2, started(origin)))
+	d := &draws{src: rand.NewPCG(1, 2)}
+	g.r.rng = rand.New(d)
+	sent := 0
+	for i := range 200 {
+		sent += len(g.arrive(fmt.Sprint(i), "read", 4*time.Second))
+	}
+	if sent > 100 {
+		t.Fatalf("%d sent: the cold servers' room does not bind", sent)
+	}
+	d.n = 0
+	g.feed(AttemptDone{ID: "none"}) // no pass
+	g.feed(ServersListed{})         // a pass
+	if d.n > 100 {
+		t.Errorf("%d draws in one pass over %d that wait", d.n, 200-sent)
+	}
+	g.list(host(1), host(2)) // both warm: all that the limit lets go is sent
+	if n := g.r.inFlight; float64(n) < g.r.limit-1 && n < 200 {
+		t.Errorf("%d out of 200, limit %.0f", n, g.r.limit)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -37,6 +37,7 @@
 
 	reqs                    map[RequestID]*request
 	waiting                 []*request
+	pass                    uint64 // over those that wait
 	inFlight                int
 	limit, answers, late    float64       // the concurrency limit; outcomes since it was set
 	rate, arrived, ticks    float64       // requests a second; since the last tick
@@ -86,8 +87,9 @@
 	pinned float64     // share of requests whose key is bound to the build on trial, smoothed
 	times  [64]float64 // of the latest answers before a trial, a ring
 	next   int
-	mark   float64 // slower than this is slow; 0: not known
-	before uint32  // answers behind the mark
+	mark   float64   // slower than this is slow; 0: not known
+	before uint32    // answers behind the mark
+	stuck  [4]uint64 // the pass in which a first attempt found no server; see drainQueue
 }
 
 type tenant struct{ part, rate, came float64 } // of all quotas; requests a second; since the last tick
