--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -23,6 +23,8 @@
 
 	mu      sync.Mutex
 	present int
+	owed    bool       // a new connection waits for room
+	ending  int        // of those present, the ones that were told to end
 	idle    *list.List // of *conn, the longest idle first
 	freed   chan struct{}
 }
@@ -55,7 +57,7 @@
 		c.allowWrites()
 		c.all.mu.Lock()
 		ending := c.ending
-		c.ending = false
+		c.end(false)
 		if ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && sock.Silent(c.Conn) {
 			c.all.mu.Unlock()
 			return 0, io.EOF
@@ -80,6 +82,7 @@
 	if !c.closed {
 		c.closed = true
 		c.all.busy(c)
+		c.end(false)
 		c.all.present--
 		select {
 		case c.all.freed <- struct{}{}:
@@ -118,6 +121,14 @@
 	return nil
 }
 
+// end notes whether the connection is told to end; the lock is held.
+func (c *conn) end(ending bool) {
+	if c.ending != ending {
+		c.ending = ending
+		c.all.ending += map[bool]int{true: 1, false: -1}[ending]
+	}
+}
+
 // busy takes a connection from among the idle ones; the lock is held.
 func (a *conns) busy(c *conn) {
 	if c.waits != nil {
@@ -140,37 +151,43 @@
 }
 
 // evict ends the connection that has been idle longest, if that is for a while: its client may see it close
-// between requests, and one that it used a moment ago may well have its next request under way.
+// between requests, and one that it used a moment ago may well have its next request under way. Danger: on a
+// busy machine it takes time to end, and ending another meanwhile would close many that clients still want.
 func (a *conns) evict() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e := a.idle.Front()
-	if e == nil || time.Since(e.Value.(*conn).idleAt) < a.limits.IdleLeast {
+	if a.present-a.ending <= a.limits.ClientConns-a.limits.WantedSpare {
 		return false
 	}
-	c := e.Value.(*conn)
-	a.busy(c)
-	c.ending = true
-	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil { // its reader wakes and ends it
-		return false
+	for e := a.idle.Front(); e != nil; e = a.idle.Front() {
+		c := e.Value.(*conn)
+		if time.Since(c.idleAt) < a.limits.IdleLeast {
+			return false
+		}
+		a.busy(c)
+		if !sock.Silent(c.Conn) { // its next request waits to be read, or its client has closed it
+			continue
+		}
+		c.end(true)
+		if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil { // its reader wakes and ends it
+			continue
+		}
+		a.count.Inc("clients.evicted")
+		return true
 	}
-	a.count.Inc("clients.evicted")
-	return true
-}
-
-// crowded tells that more connections stand than the node wants.
-func (a *conns) crowded() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.present > a.limits.ClientConns-a.limits.WantedSpare
+	return false
 }
 
-// starved tells that besides none is idle: answers close theirs then. Danger: closed while others are idle,
-// each costs its client a new connection, and new ones come faster than the backlog is taken from.
+// starved tells that an answer is to close its connection: more stand than the node wants and none is idle, or a
+// new one has waited for room. Danger: on a busy machine those that stand idle have requests waiting already and
+// can't make room; served for ever, they would keep new ones in the backlog until their time is over. Danger:
+// each costs its client a new connection, which is dearer than the request; so one for each moment of waiting.
 func (a *conns) starved() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.present > a.limits.ClientConns-a.limits.WantedSpare && a.idle.Len() == 0
+	owed := a.owed
+	a.owed = false
+	return owed || a.present > a.limits.ClientConns-a.limits.WantedSpare && a.idle.Len() == 0
 }
 
 // full tells that there is no descriptor for another.
@@ -193,8 +210,10 @@
 	for l.conns.full() {
 		l.conns.count.Inc("clients.accept_waits")
 		l.conns.evict()
+		l.conns.owe(true)
 		l.conns.pause()
 	}
+	l.conns.owe(false)
 	for {
 		nc, err := l.Listener.Accept()
 		switch {
@@ -203,9 +222,7 @@
 			l.conns.mu.Lock()
 			l.conns.present++
 			l.conns.mu.Unlock()
-			if l.conns.crowded() {
-				l.conns.evict()
-			}
+			l.conns.evict()
 			return &conn{Conn: nc, all: l.conns}, nil
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
 			errors.Is(err, syscall.ENOMEM): // net/http would pause for up to a second
@@ -218,6 +235,13 @@
 	}
 }
 
+// owe notes whether the next answer owes its connection to a new one.
+func (a *conns) owe(owed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owed = owed
+}
+
 // pause waits a moment, or until a connection has closed.
 func (a *conns) pause() {
 	t := time.NewTimer(2 * time.Millisecond)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -130,7 +130,7 @@
 		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
 		// sent for this request, so a refusal is in order whatever its class.
 		s.count.Inc("requests.refused_full")
-		s.answer(w, exchange.Answer{Status: exchange.Refused})
+		s.answer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
 		return
 	}
 	s.answer(w, s.wait(r.Context(), m, f, until))
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -30,6 +30,7 @@
 	MaxPerServer int // idle connections kept to one server
 
 	IdleLeast    time.Duration // a client's connection idle for less is not closed for want of room
+	RetryAfter   time.Duration // advice with the node's own refusals: the longest that clients follow
 	MaxWait      time.Duration // the longest time that a client may say it waits
 	AnswerMargin time.Duration // before a client's time is over, the decisions' time is; see Margins
 	LastMargin   time.Duration // before a client's time is over, the node answers by itself; see Margins
@@ -82,8 +83,8 @@
 		MaxBody: 64 << 10, MaxHead: 16 << 10, MaxLine: 8 << 10, MaxList: 8 << 20, MaxDatagram: 256,
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
-		ServerConns: free / 4, ClientConns: free - free/4,
-		IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second),
+		ServerConns: free / 5, ClientConns: free - free/5,
+		RetryAfter: s.MaxRetryAfter, IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second),
 		AnswerMargin: 80 * time.Millisecond, LastMargin: 50 * time.Millisecond,
 		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
@@ -96,7 +97,7 @@
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
 	// Danger: held requests keep their connections; with few left for the rest, each refusal closes one and the
 	// backlog grows faster than it is taken from.
-	l.MaxHeld = max(4, min(l.MaxHeld, l.ClientConns/2))
+	l.MaxHeld = max(4, min(l.MaxHeld, l.ClientConns/3))
 	l.MaxOpen = l.MaxHeld * 9 / 10
 	if l.DialTimeout <= 0 {
 		l.DialTimeout, l.ProbeTimeout = time.Second, time.Second
