--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -41,7 +41,9 @@
 	defer signal.Stop(signals)
 
 	count, clock := metrics.New(), gateway.NewClock()
-	listen, err := net.Listen("tcp", c.Listen)
+	// No keep-alive probes: they cost each new connection four system calls, and idle ones close for want of room.
+	accept := net.ListenConfig{KeepAlive: -1}
+	listen, err := accept.Listen(context.Background(), "tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
