--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -23,7 +23,7 @@
 
 	mu      sync.Mutex
 	present int
-	owed    bool       // a new connection waits for room
+	owed    int        // answers that close their connections, as new ones wait for room
 	ending  int        // of those present, the ones that were told to end
 	idle    *list.List // of *conn, the longest idle first
 	freed   chan struct{}
@@ -181,13 +181,15 @@
 // starved tells that an answer is to close its connection: more stand than the node wants and none is idle, or a
 // new one has waited for room. Danger: on a busy machine those that stand idle have requests waiting already and
 // can't make room; served for ever, they would keep new ones in the backlog until their time is over. Danger:
-// each costs its client a new connection, which is dearer than the request; so one for each moment of waiting.
+// each costs its client a new connection, which is dearer than the request; so a few for each moment.
 func (a *conns) starved() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	owed := a.owed
-	a.owed = false
-	return owed || a.present > a.limits.ClientConns-a.limits.WantedSpare && a.idle.Len() == 0
+	if a.owed > 0 {
+		a.owed--
+		return true
+	}
+	return a.present > a.limits.ClientConns-a.limits.WantedSpare && a.idle.Len() == 0
 }
 
 // full tells that there is no descriptor for another.
@@ -210,10 +212,10 @@
 	for l.conns.full() {
 		l.conns.count.Inc("clients.accept_waits")
 		l.conns.evict()
-		l.conns.owe(true)
+		l.conns.owe(l.conns.limits.OwedAtOnce)
 		l.conns.pause()
 	}
-	l.conns.owe(false)
+	l.conns.owe(0)
 	for {
 		nc, err := l.Listener.Accept()
 		switch {
@@ -235,8 +237,8 @@
 	}
 }
 
-// owe notes whether the next answer owes its connection to a new one.
-func (a *conns) owe(owed bool) {
+// owe notes how many of the next answers owe their connections to new ones.
+func (a *conns) owe(owed int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.owed = owed
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -25,6 +25,7 @@
 	MaxHeld      int // beyond this the node itself refuses, unseen by the module
 	ClientConns  int // connections from clients
 	ServerConns  int // connections to servers
+	OwedAtOnce   int // answers that close their connections for each moment that a new one waits
 	WantedSpare  int // connections from clients kept in hand: beyond, answers close theirs
 	MaxOutgoing  int // messages and votes that wait to be written
 	MaxPerServer int // idle connections kept to one server
@@ -94,6 +95,7 @@
 		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
 	}
+	l.OwedAtOnce = 8
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
 	// Danger: held requests keep their connections; with few left for the rest, each refusal closes one and the
 	// backlog grows faster than it is taken from.
