--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,11 @@
 
 // post puts an event before the loop. It waits while the loop is behind; the loop never waits for a poster.
 func (g *Gateway) post(e any) error {
+	select {
+	case <-g.done: // else the queue might still take it, and nobody would read it
+		return ErrStopped
+	default:
+	}
 	select {
 	case g.events <- event{e, time.Now()}:
 		return nil
