--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -86,7 +86,7 @@
 		MaxHeld:     told.MemoryMB * mebibyte * 3 / 5 / requestBytes,
 		ServerConns: free / 5, ClientConns: free - free/5,
 		RetryAfter: s.MaxRetryAfter, IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second),
-		AnswerMargin: 80 * time.Millisecond, LastMargin: 50 * time.Millisecond,
+		AnswerMargin: 140 * time.Millisecond, LastMargin: 110 * time.Millisecond,
 		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
@@ -116,5 +116,5 @@
 // Margins gives AnswerMargin and LastMargin for a client that waits so long: a small part of a short wait.
 // Danger: on a busy machine an answer takes its time from the loop to the client, and must not come late.
 func (l Limits) Margins(wait time.Duration) (answer, last time.Duration) {
-	return min(l.AnswerMargin, wait/8), min(l.LastMargin, wait/12)
+	return min(l.AnswerMargin, wait/5), min(l.LastMargin, wait/7)
 }
