--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -25,12 +25,13 @@
 	present int
 	owed    int        // answers that close their connections, as new ones wait for room
 	ending  int        // of those present, the ones that were told to end
+	fresh   *list.List // of *conn, those that have brought no whole head yet, the oldest first
 	idle    *list.List // of *conn, the longest idle first
 	freed   chan struct{}
 }
 
 func newConns(limits config.Limits, count *metrics.Registry) *conns {
-	return &conns{limits: limits, count: count, idle: list.New(), freed: make(chan struct{}, 1)}
+	return &conns{limits: limits, count: count, fresh: list.New(), idle: list.New(), freed: make(chan struct{}, 1)}
 }
 
 // conn is a connection from a client.
@@ -42,46 +43,53 @@
 	asked   bool      // a request has come; touched by its handlers alone
 
 	// Guarded by all.mu.
-	waits  *list.Element // among the idle ones: nothing has been read since its last answer
-	idleAt time.Time
+	waits  *list.Element // in one of the lists
+	idle   bool          // in that of the idle ones: nothing has been read since its last answer
+	since  time.Time     // when it came there
 	closed bool
 	ending bool // to be closed between requests
 }
 
 // Read takes a connection from among the idle ones before net/http sees a byte of its next request, and
-// ends one that is to be closed only if no byte of a next request has come. Danger: net/http tells that it
-// is busy only after the head was read; closed in between, a request that was taken would be lost.
+// ends one that is to be closed, or was idle for too long, only if no byte of a next request has come. Danger:
+// net/http tells that it is busy only after the head was read; closed in between, a request that was taken
+// would be lost.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
 		c.allowWrites()
 		c.all.mu.Lock()
-		ending := c.ending
+		between := c.ending || c.idle
 		c.end(false)
-		if ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && sock.Silent(c.Conn) {
+		over := between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		if over && sock.Silent(c.Conn) {
 			c.all.mu.Unlock()
+			c.all.count.Inc("clients.ended_idle")
 			return 0, io.EOF
 		}
-		c.all.busy(c)
+		if c.idle {
+			c.all.leave(c)
+		}
 		c.all.mu.Unlock()
-		if !ending {
+		if !over {
 			return n, err
 		}
-		if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		// Danger: with no time-out left, what comes now could stall for ever.
+		if err := c.Conn.SetReadDeadline(time.Now().Add(c.all.limits.ReadWhole)); err != nil {
 			return n, err
 		}
-		if n > 0 {
-			return n, nil
-		}
 	}
 }
 
+// SetWriteDeadline leaves the deadline to allowWrites. Danger: net/http takes it away after each answer.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
 // Close counts it off, once.
 func (c *conn) Close() error {
 	c.all.mu.Lock()
 	if !c.closed {
 		c.closed = true
-		c.all.busy(c)
+		c.all.leave(c)
 		c.end(false)
 		c.all.present--
 		select {
@@ -129,42 +137,65 @@
 	}
 }
 
-// busy takes a connection from among the idle ones; the lock is held.
-func (a *conns) busy(c *conn) {
-	if c.waits != nil {
+// join puts a connection into a list; the lock is held.
+func (a *conns) join(c *conn, to *list.List) {
+	if !c.closed && c.waits == nil {
+		c.waits, c.idle, c.since = to.PushBack(c), to == a.idle, time.Now()
+	}
+}
+
+// leave takes a connection from its list; the lock is held.
+func (a *conns) leave(c *conn) {
+	if c.waits == nil {
+		return
+	}
+	if c.idle {
 		a.idle.Remove(c.waits)
-		c.waits = nil
+	} else {
+		a.fresh.Remove(c.waits)
 	}
+	c.waits, c.idle = nil, false
 }
 
-// state puts a connection among the idle ones once its answer is written.
+// state takes a connection from among the fresh ones once a head was read, and puts it among the idle ones
+// once its answer is written.
 func (a *conns) state(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
-	if !ok || to != http.StateIdle {
+	if !ok || to != http.StateIdle && to != http.StateActive {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !c.closed && c.waits == nil {
-		c.waits, c.idleAt = a.idle.PushBack(c), time.Now()
+	if to == http.StateActive {
+		a.leave(c)
+	} else {
+		a.join(c, a.idle)
 	}
 }
 
-// evict ends the connection that has been idle longest, if that is for a while: its client may see it close
-// between requests, and one that it used a moment ago may well have its next request under way. Danger: on a
-// busy machine it takes time to end, and ending another meanwhile would close many that clients still want.
+// evict makes room where it is short. It ends the oldest connection that has said nothing, or not enough, for a
+// while, and else the one that has been idle longest, if that is for a while: its client may see it close between
+// requests, and one that it used a moment ago may well have its next request under way. Danger: on a busy
+// machine it takes time to end, and ending another meanwhile would close many that clients still want. Danger:
+// silent connections, taken by hundreds, would push out those that serve. It hurts a client whose first head
+// takes longer than FreshLeast to come while room is short.
 func (a *conns) evict() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.present-a.ending <= a.limits.ClientConns-a.limits.WantedSpare {
 		return false
 	}
-	for e := a.idle.Front(); e != nil; e = a.idle.Front() {
+	return a.endOldest(a.fresh, a.limits.FreshLeast) || a.endOldest(a.idle, a.limits.IdleLeast)
+}
+
+// endOldest ends the oldest connection of a list that has been there for so long; the lock is held.
+func (a *conns) endOldest(l *list.List, least time.Duration) bool {
+	for e := l.Front(); e != nil; e = l.Front() {
 		c := e.Value.(*conn)
-		if time.Since(c.idleAt) < a.limits.IdleLeast {
+		if time.Since(c.since) < least {
 			return false
 		}
-		a.busy(c)
+		a.leave(c)
 		if !sock.Silent(c.Conn) { // its next request waits to be read, or its client has closed it
 			continue
 		}
@@ -221,11 +252,13 @@
 		switch {
 		case err == nil:
 			l.conns.count.Inc("clients.connections")
+			c := &conn{Conn: nc, all: l.conns}
 			l.conns.mu.Lock()
 			l.conns.present++
+			l.conns.join(c, l.conns.fresh)
 			l.conns.mu.Unlock()
 			l.conns.evict()
-			return &conn{Conn: nc, all: l.conns}, nil
+			return c, nil
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
 			errors.Is(err, syscall.ENOMEM): // net/http would pause for up to a second
 			l.conns.count.Inc("clients.accept_short")
--- a/internal/clients/request.go
+++ b/internal/clients/request.go
@@ -171,30 +171,27 @@
 	return h.Sum64()
 }
 
-// body reads a request's body whole. Danger: a sender that stalls would hold its place for ever; it has as
-// long as its answer would have.
-func (p *reader) body(w http.ResponseWriter, r *http.Request, wait time.Duration) ([]byte, *problem) {
-	if r.ContentLength == 0 {
+// framed checks that it is in no doubt where a request ends. Danger: net/http drops Content-Length, unseen, where
+// a transfer encoding comes with it, and drops the encoding itself under HTTP/1.0; who reads the other of the
+// two, here or behind, finds another request in the body. So the length alone counts, which HTTP lets a server
+// insist on. It hurts a client that sends chunks; it may send a length.
+func framed(r *http.Request) *problem {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return &problem{http.StatusLengthRequired, "a length is needed, not a transfer encoding"}
+	case !r.ProtoAtLeast(1, 1):
+		return &problem{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed"}
+	}
+	return nil
+}
+
+// body reads a request's body whole; its length has been checked, and the server's time-out ends one that stalls.
+func (p *reader) body(r *http.Request) ([]byte, *problem) {
+	if r.ContentLength <= 0 {
 		return nil, nil
 	}
-	in := http.NewResponseController(w)
-	err := in.SetReadDeadline(time.Now().Add(wait + p.limits.BodyExtra))
-	body := make([]byte, max(0, r.ContentLength))
-	if r.ContentLength > 0 {
-		_, readErr := io.ReadFull(r.Body, body)
-		err = errors.Join(err, readErr)
-	} else {
-		var readErr error
-		body, readErr = io.ReadAll(http.MaxBytesReader(w, r.Body, int64(p.limits.MaxBody)))
-		err = errors.Join(err, readErr)
-	}
-	if err == nil { // else net/http would wait without end for the rest
-		err = in.SetReadDeadline(time.Time{})
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &problem{http.StatusRequestEntityTooLarge, "body too large"}
+	body := make([]byte, r.ContentLength)
+	switch _, err := io.ReadFull(r.Body, body); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &problem{http.StatusRequestTimeout, "body came too slowly"}
 	case err != nil:
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,15 +38,19 @@
 	http    *http.Server
 	conns   *conns
 	open    atomic.Int64
+	ids     openIDs
 }
 
 // New makes a server; Serve starts it.
 func New(limits config.Limits, s logic.Settings, g Gateway, count *metrics.Registry, log *zap.Logger) *Server {
 	srv := &Server{limits: limits, reader: newReader(limits, s), gateway: g, count: count, log: log,
-		conns: newConns(limits, count)}
+		conns: newConns(limits, count), ids: openIDs{open: map[string]struct{}{}}}
 	errors, _ := zap.NewStdLogAt(log, zap.DebugLevel) // the level exists
-	// Danger: any time-out here could cut a request that the kernel has taken; none is set.
+	// Danger: who says nothing, half a head or half a body would hold a descriptor for ever. ReadTimeout runs from
+	// the connection's start or a later request's first byte, and only until a request is whole; what ends an
+	// idle connection is conn.Read, so that no request is cut that the kernel has taken.
 	srv.http = &http.Server{Handler: srv, MaxHeaderBytes: limits.MaxHead, ErrorLog: errors,
+		ReadTimeout: limits.ReadWhole, IdleTimeout: limits.ClientIdle,
 		ConnState: srv.conns.state, ConnContext: withConn}
 	return srv
 }
@@ -86,8 +91,37 @@
 	return c
 }
 
+// openIDs are those of the requests that are being answered.
+type openIDs struct {
+	mu   sync.Mutex
+	open map[string]struct{}
+}
+
+// claim takes an id, if no open request bears it.
+func (o *openIDs) claim(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, taken := o.open[id]
+	if !taken {
+		o.open[id] = struct{}{}
+	}
+	return !taken
+}
+
+// release frees an id.
+func (o *openIDs) release(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, id)
+}
+
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if wrong := framed(r); wrong != nil {
+		w.Header().Set("Connection", "close")
+		s.turnDown(w, wrong)
+		return
+	}
 	if r.URL.Path == pathReady {
 		s.send(w, http.StatusOK, nil)
 		return
@@ -99,7 +133,7 @@
 	if wrong == nil {
 		// The body is read for a refusal too. Danger: closing with bytes unread resets the connection, and
 		// the client may never see its answer.
-		m.Body, wrong = s.reader.body(w, r, wait)
+		m.Body, wrong = s.reader.body(r)
 	}
 	until := time.Now().Add(wait)
 	// A request's time runs from its last byte. Danger: it may have stood in the kernel's backlog for long, and
@@ -110,12 +144,10 @@
 		until = until.Add(-unread)
 	}
 	if wrong != nil {
-		s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
-		s.log.Debug("bad request", zap.Int("status", wrong.status), zap.String("reason", wrong.text))
 		if wrong.status == http.StatusRequestTimeout {
 			w.Header().Set("Connection", "close")
 		}
-		s.send(w, wrong.status, []byte(wrong.text+"\n"))
+		s.turnDown(w, wrong)
 		return
 	}
 	if s.conns.starved() {
@@ -133,7 +165,22 @@
 		s.answer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
 		return
 	}
-	s.answer(w, s.wait(r.Context(), m, f, until))
+	// Danger: two requests of one id, out at a time, pass for one that was sent twice. The first goes on; the id
+	// of one that has ended may come again.
+	if !s.ids.claim(m.ID) {
+		s.turnDown(w, &problem{http.StatusConflict, "a request with this id is open"})
+		return
+	}
+	a := s.wait(r.Context(), m, f, until)
+	s.ids.release(m.ID)
+	s.answer(w, a)
+}
+
+// turnDown answers a request that can't be served, whatever the decisions.
+func (s *Server) turnDown(w http.ResponseWriter, wrong *problem) {
+	s.count.Inc("requests.bad_" + strconv.Itoa(wrong.status))
+	s.log.Debug("bad request", zap.Int("status", wrong.status), zap.String("reason", wrong.text))
+	s.send(w, wrong.status, []byte(wrong.text+"\n"))
 }
 
 // wait gets the final answer. Danger: a host, the loop or the decisions may hang; the node itself answers
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -35,7 +35,9 @@
 	MaxWait      time.Duration // the longest time that a client may say it waits
 	AnswerMargin time.Duration // before a client's time is over, the decisions' time is; see Margins
 	LastMargin   time.Duration // before a client's time is over, the node answers by itself; see Margins
-	BodyExtra    time.Duration // beyond a client's time, a body that has not come is given up
+	ReadWhole    time.Duration // from connecting, or a later request's first byte, until a request is whole
+	ClientIdle   time.Duration // a client's connection idle for longer is closed
+	FreshLeast   time.Duration // a connection that has brought no head for less is not closed for want of room
 	WriteStall   time.Duration // a client that reads nothing for longer is cut off; half of it at the least
 	DialTimeout  time.Duration // for a connection to a server
 	ProbeTimeout time.Duration // for a probe of a server
@@ -87,7 +89,8 @@
 		ServerConns: free / 5, ClientConns: free - free/5,
 		RetryAfter: s.MaxRetryAfter, IdleLeast: 10 * time.Millisecond, MaxWait: 10 * max(longest, time.Second),
 		AnswerMargin: 140 * time.Millisecond, LastMargin: 110 * time.Millisecond,
-		BodyExtra: time.Second, WriteStall: 10 * max(longest, time.Second),
+		ReadWhole: 2200 * time.Millisecond, ClientIdle: 2200 * time.Millisecond, FreshLeast: 250 * time.Millisecond,
+		WriteStall:  10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
