--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -23,7 +23,8 @@
 const usage = `usage: merlinarch COMMAND [flags]
 
 commands:
-  serve     run the router; SIGUSR1 prints its counters, SIGTERM ends it once all is answered
+  serve     run the router; SIGUSR1 prints its counters, SIGHUP reads the addresses of discovery and platform
+            anew, SIGTERM ends it once all is answered
   check     read the configuration and tell what is wrong with it, without serving
   version   print the version
   help      print this text
--- a/cmd/merlinarch/main_test.go
+++ b/cmd/merlinarch/main_test.go
@@ -34,6 +34,7 @@
 	work            sync.WaitGroup
 	mu              sync.Mutex
 	seen            []string // ids that the host has met
+	listed, watched bool     // discovery and the platform were asked
 }
 
 func newTown(t *testing.T) *town {
@@ -50,6 +51,9 @@
 		fmt.Fprintf(rw, "%s %s %s", r.Method, r.RequestURI, body)
 	}))
 	w.discovery = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		w.listed = true
+		w.mu.Unlock()
 		io.WriteString(rw, "\n")
 		http.NewResponseController(rw).Flush()
 		<-r.Context().Done()
@@ -67,6 +71,9 @@
 			w.work.Go(func() {
 				defer c.Close()
 				for lines := bufio.NewScanner(c); lines.Scan(); {
+					w.mu.Lock()
+					w.watched = true
+					w.mu.Unlock()
 					io.WriteString(c, "OK\r\n* news 42 0 released 1 5\r\n")
 				}
 			})
@@ -191,6 +198,83 @@
 	}
 }
 
+// SIGHUP goes over to the addresses that the file names then, a file that can't be read changes nothing, and
+// while the router ends either is harmless.
+func TestReload(t *testing.T) {
+	w, next := newTown(t), newTown(t)
+	listen := freeAddr(t)
+	path := w.configuration(t, listen)
+	c, err := config.Load(path, none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	done := make(chan error, 1)
+	go func() { done <- serve(c, zap.New(core)) }()
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	kill := func(s syscall.Signal) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	logged := func(text string, times int) {
+		t.Helper()
+		testwait.Until(t, text, func() bool { return logs.FilterMessage(text).Len() == times })
+	}
+	place := func(data []byte) { // as a whole, as a careful operator would
+		t.Helper()
+		if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	place([]byte(`{"name":"n0","listen`))
+	kill(syscall.SIGHUP)
+	logged("new configuration can't be used, going on with the old one", 1)
+	other, err := os.ReadFile(next.configuration(t, listen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	place(other)
+	kill(syscall.SIGHUP)
+	logged("configuration read anew", 1)
+	logged("platform moves", 1)
+	logged("discovery moves", 1)
+	testwait.Until(t, "the new addresses to be asked", func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.watched && next.listed
+	})
+	if status, _, err := get(listen, "/api", "one"); err != nil || status != 200 {
+		t.Errorf("then %d %v", status, err)
+	}
+	results := make(chan string, 1)
+	go func() {
+		status, _, err := get(listen, "/api?slow", "two")
+		results <- fmt.Sprint(status, err)
+	}()
+	testwait.Until(t, "the request to arrive", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.seen) == 2
+	})
+	kill(syscall.SIGTERM)
+	kill(syscall.SIGHUP)
+	logged("configuration read anew", 2)
+	if got := <-results; got != "200 <nil>" {
+		t.Errorf("a request at the end: %s", got)
+	}
+	if err := testwait.Value(t, "the router to end", done); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestCommandLine(t *testing.T) {
 	w := newTown(t)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -36,9 +36,14 @@
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	debug.SetGCPercent(c.Limits.GCPercent)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+	// Danger: signals of one kind, sent often, would push out those of another; each has its own place.
+	ending, asked, reload := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ending, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(asked, syscall.SIGUSR1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for _, s := range []chan os.Signal{ending, asked, reload} {
+		defer signal.Stop(s)
+	}
 
 	count, clock := metrics.New(), gateway.NewClock()
 	// No keep-alive probes: they cost each new connection four system calls, and idle ones close for want of room.
@@ -71,8 +76,9 @@
 			log.Warn("starting without a list", zap.Error(err))
 		}
 	}
+	var desk *platform.Client
 	if c.Platform != "" {
-		desk := platform.New(c.Platform, c.Limits, gw, count, log)
+		desk = platform.New(c.Platform, c.Limits, gw, count, log)
 		parts.Platform = desk
 		if news, err := platform.DecodeNews(c.News); err == nil {
 			gw.Released(news)
@@ -89,19 +95,24 @@
 	go func() { served <- front.Serve(listen) }()
 	log.Info("serving", zap.String("name", c.Name), zap.String("listen", c.Listen))
 
-	for {
+	drained := make(chan error, 1)
+	for over := false; !over; {
 		select {
-		case err = <-served: // without a signal
-			err = errors.Join(err, errors.New("stopped serving"))
-		case s := <-signals:
-			if s == syscall.SIGUSR1 {
-				count.Log(log, "asked for")
-				continue
+		case err = <-served:
+			if served = nil; ending != nil { // without a signal
+				err, over = errors.Join(err, errors.New("stopped serving")), true
 			}
+		case <-asked:
+			count.Log(log, "asked for")
+		case <-reload: // also while it ends: what is still sent keeps to the latest news
+			c = move(c, watcher, desk, count, log)
+		case s := <-ending:
 			log.Info("ending", zap.String("signal", s.String()))
-			err = front.Drain()
+			ending = nil
+			go func() { drained <- front.Drain() }()
+		case err = <-drained:
+			over = true
 		}
-		break
 	}
 	stop()
 	pool.Close()
@@ -109,3 +120,24 @@
 	count.Log(log, "end")
 	return err
 }
+
+// move goes over to the addresses that the configuration file names now. A file that can't be used changes nothing.
+func move(c config.Config, watcher *discovery.Watcher, desk *platform.Client, count *metrics.Registry,
+	log *zap.Logger) config.Config {
+	next, ignored, err := c.Reload()
+	if err != nil {
+		count.Inc("config.unusable")
+		log.Warn("new configuration can't be used, going on with the old one", zap.Error(err))
+		return c
+	}
+	count.Inc("config.read_anew")
+	log.Info("configuration read anew", zap.String("discovery", next.Discovery), zap.String("platform", next.Platform),
+		zap.Strings("changed_but_ignored", ignored))
+	if next.Discovery != c.Discovery {
+		watcher.Move(next.Discovery)
+	}
+	if next.Platform != c.Platform {
+		desk.Move(next.Platform)
+	}
+	return next
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,8 +35,19 @@
 	Known                   *fastjson.Value // the list as last held, in discovery's form; nil: none
 	Settings                logic.Settings
 	Limits                  Limits
+
+	path   string
+	env    func(string) string
+	file   addresses         // as the file names them, whatever the environment says
+	others map[string]string // the file's other fields that hold for good, as text
 }
 
+// kept are the fields that hold from the start to the end; the rest is addresses, and the state at the start.
+var kept = []string{"name", "listen", "seed", "limits", "peer_listen", "peers", "peers_all", "settings"}
+
+// addresses are what a new configuration may change.
+type addresses struct{ discovery, platform string }
+
 // Load reads the file named by path, or by the environment if path is empty.
 func Load(path string, env func(string) string) (Config, error) {
 	if path == "" {
@@ -53,9 +64,38 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.path, c.env = path, env
 	return c, nil
 }
 
+// Reload reads the file anew. Only discovery's and the platform's addresses may change, each if the file names
+// another than it did; ignored tells which other fields differ. Danger: half a file, or one for another router,
+// would cut this one off from both; a file that is wrong in any part changes nothing.
+func (c Config) Reload() (next Config, ignored []string, err error) {
+	read, err := Load(c.path, c.env)
+	if err != nil {
+		return c, nil, err
+	}
+	next = c
+	next.file, next.others = read.file, read.others
+	switch {
+	case read.file.platform == "" && c.Platform != "" || read.file.platform != "" && c.Platform == "":
+		return c, nil, fmt.Errorf("configuration %s: pipeline.address can't come or go", c.path)
+	case read.file.discovery == "" && c.file.discovery != "":
+		return c, nil, fmt.Errorf("configuration %s: discovery is missing", c.path)
+	}
+	if read.file.discovery != c.file.discovery { // else the environment's still holds
+		next.Discovery = read.file.discovery
+	}
+	next.Platform = read.file.platform
+	for _, name := range kept {
+		if read.others[name] != c.others[name] {
+			ignored = append(ignored, name)
+		}
+	}
+	return next, ignored, nil
+}
+
 // Parse reads the text of the file; variables of the environment come before what it says.
 func Parse(data []byte, env func(string) string) (Config, error) {
 	v, err := fastjson.ParseBytes(data)
@@ -75,6 +115,13 @@
 		Discovery: text(envDiscovery, "discovery"), PeerListen: text("", "peer_listen"),
 		PeersAll: text("", "peers_all"), Platform: text("", "pipeline", "address"),
 		News: v.Get("pipeline", "news"), Known: v.Get("known"), Seed: seed(text("", "seed"))}
+	c.file = addresses{text("", "discovery"), c.Platform}
+	c.others = map[string]string{}
+	for _, name := range kept {
+		if field := v.Get(name); field != nil {
+			c.others[name] = string(field.MarshalTo(nil))
+		}
+	}
 	for _, p := range v.GetArray("peers") {
 		c.Peers = append(c.Peers, string(p.GetStringBytes()))
 	}
@@ -116,7 +163,7 @@
 		return nil
 	}
 	errs := []error{check("listen ("+envListen+")", c.Listen, true),
-		check("discovery ("+envDiscovery+")", c.Discovery, true),
+		check("discovery ("+envDiscovery+")", c.Discovery, true), check("discovery", c.file.discovery, false),
 		check("pipeline.address", c.Platform, false), check("peer_listen", c.PeerListen, false),
 		check("peers_all", c.PeersAll, false)}
 	for i, p := range c.Peers {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -123,3 +123,51 @@
 		}
 	})
 }
+
+// Only the two addresses change; a file that is wrong in any part changes nothing, and other fields are told.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	env := map[string]string{"LB_DISCOVERY": "127.0.0.9:2"}
+	c, err := Load(path, func(k string) string { return env[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next, ignored, err := c.Reload(); err != nil || next.Discovery != "127.0.0.9:2" || len(ignored) > 0 {
+		t.Errorf("the same file: %v %v %v", next.Discovery, ignored, err)
+	}
+	write(strings.Replace(good, "127.2.0.2:6400", "127.2.0.3:6400", 1))
+	next, _, err := c.Reload()
+	if err != nil || next.Platform != "127.2.0.3:6400" || next.Discovery != "127.0.0.9:2" {
+		t.Errorf("the platform moves: %v %v %v", next.Platform, next.Discovery, err)
+	}
+	write(strings.NewReplacer("127.2.0.1:8500", "127.2.0.4:8500", `"n3"`, `"n4"`, `"seq":41`, `"seq":50`).Replace(good))
+	next, ignored, err := next.Reload()
+	if err != nil || next.Platform != "127.2.0.2:6400" || next.Discovery != "127.2.0.4:8500" || next.Name != "n3" ||
+		len(ignored) != 1 || ignored[0] != "name" {
+		t.Errorf("both move: %v %v %v %v", next.Platform, next.Discovery, ignored, err)
+	}
+	for name, text := range map[string]string{"empty": "", "cut off": good[:len(good)/2], "not JSON": "discovery=1", "an array": "[]",
+		"an impossible address": strings.Replace(good, "127.2.0.1:8500", "nowhere", 1),
+		"an impossible port":    strings.Replace(good, "127.2.0.2:6400", "127.2.0.2:99999", 1),
+		"no platform":           strings.Replace(good, `"address":"127.2.0.2:6400",`, "", 1),
+		"no discovery":          strings.Replace(good, `"discovery":"127.2.0.1:8500",`, "", 1),
+		"no settings":           strings.Replace(good, `"settings"`, `"other"`, 1)} {
+		write(text)
+		if got, _, err := next.Reload(); err == nil || got.Discovery != next.Discovery || got.Platform != next.Platform {
+			t.Errorf("%s: %v, %v %v", name, err, got.Discovery, got.Platform)
+		}
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := next.Reload(); err == nil {
+		t.Error("no file is taken")
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -49,6 +49,7 @@
 	VoteTimeout  time.Duration // a vote unanswered for longer may count
 	RetryFirst   time.Duration // pause before connecting anew, then twice, ...
 	RetryLast    time.Duration
+	MoveGrace    time.Duration // after a new address, what waits on a connection to the old one has this long
 	DrainTaking  time.Duration // after SIGTERM: go on as before
 	DrainClosing time.Duration // then end connections between requests until this
 	DrainLast    time.Duration // then finish what was taken, at the longest
@@ -95,6 +96,7 @@
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
 		VoteTimeout: s.Rollout.VoteTimeout, RetryFirst: 100 * time.Millisecond, RetryLast: 2 * time.Second,
+		MoveGrace:   1500 * time.Millisecond,
 		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -203,3 +203,66 @@
 		t.Errorf("told %d times more, %d tries", len(n), count.Get("discovery.broken"))
 	}
 }
+
+// At a new address the whole list is asked for first; until it has come the old one's changes count, then no more.
+func TestMove(t *testing.T) {
+	before, after := make(chan string, 8), make(chan string, 8)
+	asked := make(chan string, 8)
+	serve := func(lines chan string, name string) *httptest.Server {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + r.RequestURI
+			tell(w, "")
+			for {
+				select {
+				case l := <-lines:
+					tell(w, l)
+					if r.URL.RawQuery == "" {
+						return
+					}
+				case <-r.Context().Done():
+					asked <- name + " ends"
+					return
+				}
+			}
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s
+	}
+	old, fresh := serve(before, "old"), serve(after, "new")
+	limits := testLimits()
+	limits.MoveGrace = patience
+	n := make(news, 64)
+	w := New(strings.TrimPrefix(old.URL, "http://"), limits, gateway.NewClock(), n, metrics.New(), zap.NewNop())
+	if err := w.Known(fastjson.MustParse(`{"seq":41,"whole":true,"hosts":[` + entry + `]}`)); err != nil {
+		t.Fatal(err)
+	}
+	n.await(t, "full=true hosts=1")
+	ctx, stop := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { w.Run(ctx) })
+	defer work.Wait()
+	defer stop()
+	ask := func(want string) {
+		t.Helper()
+		if got := testwait.Value(t, want, asked); got != want {
+			t.Fatalf("asked %q, want %q", got, want)
+		}
+	}
+	ask("old/api/targets?watch=1&from=41")
+	w.Move(strings.TrimPrefix(fresh.URL, "http://"))
+	ask("new/api/targets")
+	before <- change
+	n.await(t, "full=false hosts=2")
+	after <- `{"seq":9,"whole":true,"hosts":[` + entry + `,` + entry + `,` + entry + `]}`
+	n.await(t, "full=true hosts=3")
+	for range 2 { // in either order
+		if got := testwait.Value(t, "the change", asked); got != "old ends" && got != "new/api/targets?watch=1&from=9" {
+			t.Fatalf("asked %q", got)
+		}
+	}
+	after <- `{"seq":10,"whole":false,"hosts":[` + entry + `]}`
+	n.await(t, "full=false hosts=1")
+	if len(n) > 0 {
+		t.Errorf("told more: %s", <-n)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,15 +11,16 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/follow"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/metrics"
-	"merlinarch/internal/retry"
 )
 
 // Sink takes the news.
@@ -28,23 +29,24 @@
 	ListingFailed()
 }
 
-// Watcher follows discovery at one address.
+// Watcher follows discovery.
 type Watcher struct {
-	addr    string
-	limits  config.Limits
-	clock   gateway.Clock
-	sink    Sink
-	count   *metrics.Registry
-	log     *zap.Logger
-	client  http.Client
-	version uint64
-	held    bool // a list is held, so that changes can be asked for
+	*follow.Follower
+	limits config.Limits
+	clock  gateway.Clock
+	sink   Sink
+	count  *metrics.Registry
+	client http.Client
+
+	mu   sync.Mutex // held while a list is handed on, so that lists keep their order
+	held uint64     // the version of the list that was known at start; 0: none
 }
 
 // New makes a watcher; Run starts it.
 func New(addr string, limits config.Limits, clock gateway.Clock, sink Sink, count *metrics.Registry,
 	log *zap.Logger) *Watcher {
-	return &Watcher{addr: addr, limits: limits, clock: clock, sink: sink, count: count, log: log,
+	return &Watcher{Follower: follow.New("discovery", addr, limits, sink.ListingFailed, count, log),
+		limits: limits, clock: clock, sink: sink, count: count,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 }
 
@@ -55,59 +57,74 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	l.Full = true
+	w.held = l.Version
 	w.take(l)
 	return nil
 }
 
 // take hands a list on.
 func (w *Watcher) take(l List) {
-	w.version, w.held = l.Version, true
 	w.count.Inc("discovery.lists")
 	w.count.Add("discovery.entries_skipped", int64(l.Skipped))
 	w.sink.Listed(l.Full, l.Hosts)
 }
 
-// Run follows discovery until ctx ends. The router serves on with what it has while discovery is down.
+// Run follows discovery until ctx ends. The router serves on with what it has while discovery is down, and with
+// what an earlier address tells until the present one has given its list.
 func (w *Watcher) Run(ctx context.Context) {
-	backoff := retry.New(w.limits.RetryFirst, w.limits.RetryLast)
-	for ctx.Err() == nil {
-		err := w.watch(ctx, backoff)
-		if ctx.Err() != nil {
-			return
-		}
-		w.count.Inc("discovery.broken")
-		if backoff.Failed() {
-			w.log.Warn("discovery lost, serving on with the list as held", zap.Error(err))
-			w.sink.ListingFailed()
-		}
-		backoff.Wait(ctx)
+	held := w.held // of the first address alone: another's versions may count otherwise
+	w.Follower.Run(ctx, func() follow.Session {
+		f := &feed{w: w, version: held, held: held > 0}
+		held = 0
+		return f.watch
+	})
+}
+
+// feed is what was read from one address.
+type feed struct {
+	w       *Watcher
+	version uint64
+	held    bool // a list is held, so that changes can be asked for
+}
+
+// take hands a list on, unless a later address has given its own.
+func (f *feed) take(l List, at *follow.Place) {
+	f.version, f.held = l.Version, true
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if at.Spoke() {
+		f.w.take(l)
 	}
 }
 
 var errUnreadable = errors.New("unreadable line")
 
 // watch holds one watch until it breaks.
-func (w *Watcher) watch(ctx context.Context, backoff *retry.Backoff) error {
-	if !w.held {
-		if err := w.get(ctx, "", backoff); err != nil {
+func (f *feed) watch(ctx context.Context, at *follow.Place) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(at.Replaced(), stop)()
+	if !f.held {
+		if err := f.get(ctx, at, ""); err != nil {
 			return err
 		}
 	}
-	err := w.get(ctx, "?"+queryWatch+"=1&"+queryAfter+"="+strconv.FormatUint(w.version, 10), backoff)
+	err := f.get(ctx, at, "?"+queryWatch+"=1&"+queryAfter+"="+strconv.FormatUint(f.version, 10))
 	if errors.Is(err, errUnreadable) { // what it said is lost: the whole list is asked for anew
-		w.held = false
+		f.held = false
 	}
 	return err
 }
 
 // get reads lists from one answer, a line each, until it ends. Danger: a connection to a machine that has
 // been cut off stays open and silent; with no heartbeat it counts as broken.
-func (w *Watcher) get(ctx context.Context, query string, backoff *retry.Backoff) error {
+func (f *feed) get(ctx context.Context, at *follow.Place, query string) error {
+	w := f.w
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	silence := time.AfterFunc(w.limits.ListSilence, stop)
 	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+pathList+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.Addr+pathList+query, nil)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
@@ -138,10 +155,7 @@
 			w.count.Inc("discovery.unreadable")
 			return fmt.Errorf("discovery: %w: %.80q: %w", errUnreadable, text, err)
 		}
-		if backoff.Succeeded() {
-			w.log.Info("discovery is back")
-		}
-		w.take(l)
+		f.take(l, at)
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("discovery: %w", err)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,5 +1,5 @@
 // Package platform speaks with the release platform: it watches the newest build's state and casts votes,
-// on one connection that it renews when it breaks or falls silent.
+// on one connection that it renews when it breaks, falls silent or says what can't be read.
 package platform
 
 import (
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,8 +16,8 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/follow"
 	"merlinarch/internal/metrics"
-	"merlinarch/internal/retry"
 	"merlinarch/logic"
 )
 
@@ -30,24 +31,33 @@
 	over  bool        // it has, and the module was told
 }
 
-// Client is the connection to the platform.
+// line is one connection to the platform.
+type line struct {
+	at    *follow.Place
+	conn  net.Conn
+	calls []*call // written, not answered
+	over  bool    // nothing more is written: it ends once what waits is answered
+}
+
+// Client speaks with the platform.
 type Client struct {
-	addr   string
+	*follow.Follower
 	limits config.Limits
 	sink   Sink
 	count  *metrics.Registry
-	log    *zap.Logger
 	votes  chan logic.Vote
 
 	mu    sync.Mutex
-	conn  net.Conn // nil: none stands
-	calls []*call  // written, not answered
+	lines []*line // those that stand, the newest last
+
+	telling sync.Mutex // held while news are handed on, so that they keep their order
+	latest  logic.ReleaseStatus
 }
 
 // New makes a client; Run starts it.
 func New(addr string, limits config.Limits, sink Sink, count *metrics.Registry, log *zap.Logger) *Client {
-	return &Client{addr: addr, limits: limits, sink: sink, count: count, log: log,
-		votes: make(chan logic.Vote, limits.MaxOutgoing)}
+	return &Client{Follower: follow.New("platform", addr, limits, func() {}, count, log), limits: limits, sink: sink,
+		count: count, votes: make(chan logic.Vote, limits.MaxOutgoing)}
 }
 
 // Vote casts a vote; it never blocks. The reply comes through the sink.
@@ -68,41 +78,37 @@
 var replyNames = map[logic.VoteReply]string{logic.VoteCounts: "ok", logic.VoteMoot: "stale",
 	logic.VoteThrottled: "busy", logic.VoteError: "failed", logic.VoteTimedOut: "timeout"}
 
-// Run keeps the connection until ctx ends.
+// Run keeps a connection until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { c.write(ctx) })
 	defer work.Wait()
-	backoff := retry.New(c.limits.RetryFirst, c.limits.RetryLast)
-	for ctx.Err() == nil {
-		err := c.session(ctx, backoff)
-		if ctx.Err() != nil {
-			return
-		}
-		c.count.Inc("platform.broken")
-		if backoff.Failed() {
-			c.log.Warn("platform lost, going on with its last news", zap.Error(err))
-		}
-		backoff.Wait(ctx)
-	}
+	c.Follower.Run(ctx, func() follow.Session { return c.session })
 }
 
-// session holds one connection until it breaks.
-func (c *Client) session(ctx context.Context, backoff *retry.Backoff) error {
+// session holds one connection until it breaks, or until a later address has spoken and all calls are answered.
+func (c *Client) session(ctx context.Context, at *follow.Place) error {
 	dialer := net.Dialer{Timeout: c.limits.PeerDial}
-	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	conn, err := dialer.DialContext(ctx, "tcp", at.Addr)
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	l := &line{at: at, conn: conn}
 	c.mu.Lock()
-	c.conn = conn
-	err = c.call(callWatch+"\r\n", false)
+	if err = c.call(l, callWatch+"\r\n", false); err == nil {
+		if n := len(c.lines); at.Newest() {
+			c.lines = append(c.lines, l)
+		} else { // made while a later address came: votes go there
+			c.lines = slices.Insert(c.lines, max(0, n-1), l)
+		}
+	}
 	c.mu.Unlock()
-	defer c.broken(conn)
+	defer c.broken(l)
 	if err != nil {
 		return err
 	}
+	defer context.AfterFunc(at.Replaced(), func() { c.finish(l) })()
 	r := bufio.NewReaderSize(conn, c.limits.MaxLine)
 	for {
 		// Danger: a connection to a platform that was cut off stays open and silent; with no sign of life
@@ -114,73 +120,108 @@
 		if err != nil { // a line that fills the buffer ends the connection too
 			return fmt.Errorf("platform: %w", err)
 		}
-		if backoff.Succeeded() {
-			c.log.Info("platform is back")
+		// Danger: behind a line that can't be read, an answer may belong to any call. Nothing more is read.
+		if err := c.take(l, string(text)); err != nil {
+			c.count.Inc("platform.unreadable")
+			return err
 		}
-		c.take(strings.TrimRight(string(text), "\r\n"))
 	}
 }
 
 // take reads one line.
-func (c *Client) take(text string) {
+func (c *Client) take(l *line, text string) error {
+	text, whole := strings.CutSuffix(text, "\r\n")
+	if !whole {
+		return unreadable(text)
+	}
 	if strings.HasPrefix(text, wordUnsaid) {
-		e, ok, err := parseNews(text)
-		switch {
-		case err != nil:
-			c.count.Inc("platform.unreadable")
-		case ok:
+		e, news, err := parseUnsaid(text)
+		if err != nil {
+			return err
+		}
+		if news {
 			c.count.Inc("platform.news")
-			c.sink.Released(e)
+			c.tell(l, e)
 		}
-		return
+		return nil
 	}
 	c.mu.Lock()
-	if len(c.calls) == 0 {
+	if len(l.calls) == 0 {
 		c.mu.Unlock()
-		c.count.Inc("platform.unreadable")
-		return
+		return unreadable(text)
 	}
-	first := c.calls[0]
-	c.calls = c.calls[1:]
+	first := l.calls[0]
+	e, err := first.parse(text)
+	if err != nil { // the call stays: it ends with the connection, and a vote may have counted
+		c.mu.Unlock()
+		return err
+	}
+	l.calls = l.calls[1:]
 	told := !first.vote || first.over
 	first.over = true
+	if l.over && len(l.calls) == 0 {
+		l.conn.Close() // nothing waits any more
+	}
 	c.mu.Unlock()
-	if told {
-		return
+	if !told {
+		first.timer.Stop()
+		c.count.Inc("platform.replies_" + replyNames[e.Reply])
+		c.tell(l, e)
 	}
-	first.timer.Stop()
-	c.reply(parseReply(text))
+	return nil
 }
 
-var errNotConnected = errors.New("platform: not connected")
+// tell hands on what a line has brought. Danger: where a later address has spoken, an earlier one's state of the
+// build is out of date, though its answer to a vote holds.
+func (c *Client) tell(l *line, e logic.ReleaseStatus) {
+	c.telling.Lock()
+	defer c.telling.Unlock()
+	counts, state := l.at.Spoke(), !e.IsReply || e.Reply == logic.VoteCounts
+	if state && !counts {
+		if !e.IsReply {
+			return
+		}
+		e = c.latest
+		e.IsReply, e.Reply = true, logic.VoteCounts
+	}
+	if state {
+		c.latest = e
+	}
+	c.sink.Released(e)
+}
 
-// call writes one call. The connection's lock is held.
-func (c *Client) call(text string, vote bool) error {
-	if c.conn == nil {
-		return errNotConnected
+// finish has a line end as soon as nothing waits on it.
+func (c *Client) finish(l *line) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.over = true; len(l.calls) == 0 {
+		l.conn.Close()
 	}
+}
+
+var errNotConnected = errors.New("platform: not connected")
+
+// call writes one call. The lock is held.
+func (c *Client) call(l *line, text string, vote bool) error {
 	made := &call{vote: vote}
 	if vote {
 		made.timer = time.AfterFunc(c.limits.VoteTimeout, func() { c.expire(made) })
 	}
-	c.calls = append(c.calls, made)
-	if err := c.conn.SetWriteDeadline(time.Now().Add(c.limits.VoteTimeout)); err != nil {
-		return c.unwritten(made, err)
+	l.calls = append(l.calls, made)
+	err := l.conn.SetWriteDeadline(time.Now().Add(c.limits.VoteTimeout))
+	if err == nil {
+		_, err = l.conn.Write([]byte(text))
 	}
-	if _, err := c.conn.Write([]byte(text)); err != nil {
-		return c.unwritten(made, err)
+	if err == nil {
+		return nil
 	}
-	return nil
-}
-
-// unwritten takes back a call that was not written whole: it was not carried out.
-func (c *Client) unwritten(made *call, err error) error {
-	c.calls = c.calls[:len(c.calls)-1]
+	// Not written whole: it was not carried out.
+	l.calls = l.calls[:len(l.calls)-1]
 	if made.timer != nil {
 		made.timer.Stop()
 	}
 	made.over = true
-	c.conn.Close() // the session ends by it
+	l.conn.Close() // the session ends by it
 	return fmt.Errorf("platform: %w", err)
 }
 
@@ -196,11 +237,12 @@
 }
 
 // broken ends what waited on a connection: what was written may have been carried out.
-func (c *Client) broken(conn net.Conn) {
-	conn.Close()
+func (c *Client) broken(l *line) {
+	l.conn.Close()
 	c.mu.Lock()
-	calls := c.calls
-	c.conn, c.calls = nil, nil
+	calls := l.calls
+	l.calls = nil
+	c.lines = slices.DeleteFunc(c.lines, func(have *line) bool { return have == l })
 	c.mu.Unlock()
 	for _, made := range calls {
 		if made.vote && made.timer.Stop() {
@@ -218,7 +260,10 @@
 		case v := <-c.votes:
 			c.count.Inc("platform.votes")
 			c.mu.Lock()
-			err := c.call(formatVote(v), true)
+			err := errNotConnected
+			if n := len(c.lines); n > 0 && !c.lines[n-1].over {
+				err = c.call(c.lines[n-1], formatVote(v), true)
+			}
 			c.mu.Unlock()
 			if err != nil { // not written whole, so not carried out
 				c.reply(logic.ReleaseStatus{IsReply: true, Reply: logic.VoteError})
--- a/internal/platform/lines.go
+++ b/internal/platform/lines.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,43 +41,67 @@
 var refusals = map[string]logic.VoteReply{"BUSY": logic.VoteThrottled, "STALE": logic.VoteMoot,
 	"FAILED": logic.VoteError, "SYNTAX": logic.VoteError}
 
+// otherKinds are what the platform may tell besides news, on other deployments.
+var otherKinds = []string{"counts", "report"}
+
 // formatVote writes a vote as a call.
 func formatVote(v logic.Vote) string {
 	return fmt.Sprintf("%s %d %d %s\r\n", callVote, v.Build, v.Stage, verdicts[v.Verdict])
 }
 
-// parseReply reads the answer to a call; one that can't be read may have been carried out.
-func parseReply(text string) logic.ReleaseStatus {
-	words := strings.Fields(text)
+// unreadable is the error of a line that can't be read.
+func unreadable(text string) error { return fmt.Errorf("platform: unreadable line %.80q", text) }
+
+// parse reads the answer to a call.
+func (made *call) parse(text string) (logic.ReleaseStatus, error) {
+	if made.vote {
+		return parseReply(text)
+	}
+	if text != wordOK {
+		return logic.ReleaseStatus{}, unreadable(text)
+	}
+	return logic.ReleaseStatus{}, nil
+}
+
+// parseReply reads the answer to a vote.
+func parseReply(text string) (logic.ReleaseStatus, error) {
+	words := strings.Split(text, " ")
 	switch {
 	case len(words) == 2 && words[0] == wordError:
 		if reply, ok := refusals[words[1]]; ok {
-			return logic.ReleaseStatus{IsReply: true, Reply: reply}
+			return logic.ReleaseStatus{IsReply: true, Reply: reply}, nil
 		}
-	case len(words) > 1 && words[0] == wordOK:
+	case words[0] == wordOK:
 		if e, err := parseState(words[1:]); err == nil {
 			e.IsReply = true
-			return e
+			return e, nil
 		}
 	}
-	return logic.ReleaseStatus{IsReply: true, Reply: logic.VoteTimedOut}
+	return logic.ReleaseStatus{}, unreadable(text)
 }
 
-// parseNews reads a line told unasked; ok is false for a sign of life and for other kinds of news.
-func parseNews(text string) (e logic.ReleaseStatus, ok bool, err error) {
-	words := strings.Fields(text)
-	if len(words) < 2 || words[1] != kindNews {
+// parseUnsaid reads a line told unasked; news is false for a sign of life and for other kinds.
+func parseUnsaid(text string) (e logic.ReleaseStatus, news bool, err error) {
+	words := strings.Split(text, " ")
+	switch {
+	case words[0] != wordUnsaid:
+		return e, false, unreadable(text)
+	case len(words) == 1 || slices.Contains(otherKinds, words[1]):
 		return e, false, nil
+	case words[1] != kindNews:
+		return e, false, unreadable(text)
+	}
+	if e, err = parseState(words[2:]); err != nil {
+		return e, false, unreadable(text)
 	}
-	e, err = parseState(words[2:])
-	return e, err == nil, err
+	return e, true, nil
 }
 
 var errState = errors.New("state of the build can't be read")
 
 // parseState reads build, stage, phase, cap and age.
 func parseState(words []string) (logic.ReleaseStatus, error) {
-	if len(words) < 5 {
+	if len(words) != 5 { // a part, or noise behind
 		return logic.ReleaseStatus{}, errState
 	}
 	build, err1 := strconv.Atoi(words[0])
