--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// SetReadDeadline sets net/http's deadlines, but not on a connection that was just told to end. Danger: it would
+// count as ending and stay for as long as it likes, and none other would make room.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // SetWriteDeadline leaves the deadline to allowWrites. Danger: net/http takes it away after each answer.
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 
