--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -42,6 +42,8 @@
 	DialTimeout  time.Duration // for a connection to a server
 	ProbeTimeout time.Duration // for a probe of a server
 	ServerIdle   time.Duration // idle connections to servers are closed after this
+	ServerSettle time.Duration // after an answer its connection is left alone for this long
+	AnswerWhole  time.Duration // from a server's answer's first byte to its last
 	SendGrace    time.Duration // a send decided before a drain or a lower cap may leave so long after it
 	PeerDial     time.Duration // for a connection to discovery or the platform
 	ListSilence  time.Duration // a watch of discovery silent for longer is broken
@@ -93,6 +95,7 @@
 		ReadWhole: 2200 * time.Millisecond, ClientIdle: 2200 * time.Millisecond, FreshLeast: 250 * time.Millisecond,
 		WriteStall:  10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
+		ServerSettle: 2 * time.Millisecond, AnswerWhole: 400 * time.Millisecond,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
 		VoteTimeout: s.Rollout.VoteTimeout, RetryFirst: 100 * time.Millisecond, RetryLast: 2 * time.Second,
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -65,36 +66,38 @@
 // exchange writes a request and waits for its answer. The outcome turns on the last byte: a break before it
 // is written proves that the request never ran, after it the request may have.
 func (p *Pool) exchange(ctx context.Context, h *host, c *conn, text []byte) gateway.Result {
-	c.setBusy(true)
-	release := context.AfterFunc(ctx, func() { c.raw.SetWriteDeadline(time.Unix(1, 0)) })
-	n, err := c.raw.Write(text)
-	release()
-	if err != nil || n < len(text) {
+	r, written, err := c.roundTrip(ctx, text)
+	if err == nil && r.reusable {
+		p.give(h, c)
+	} else {
 		p.discard(c)
-		return gateway.Result{Outcome: logic.ConnectFailed}
 	}
-	var got reply
-	select {
-	case got = <-c.replies:
-	case <-ctx.Done():
-		p.discard(c)
-		// An answer that was read whole meanwhile may be in the channel; it no longer counts, since the
-		// wait is over and the connection closed.
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return gateway.Result{Outcome: logic.TimedOut}
-		}
+	switch {
+	case !written:
+		return gateway.Result{Outcome: logic.ConnectFailed}
+	case err == nil:
+		return gateway.Result{Outcome: outcome(r), Body: r.body, Load: r.load}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return gateway.Result{Outcome: logic.TimedOut}
+	case ctx.Err() != nil:
 		return gateway.Result{Outcome: logic.Cancelled}
 	}
-	if got.err != nil {
-		p.discard(c)
-		return gateway.Result{Outcome: logic.Reset, Ended: got.at}
-	}
-	if got.reusable && ctx.Err() == nil { // else its write deadline may be set
-		p.give(h, c)
-	} else {
-		p.discard(c)
+	p.count.Inc("answers." + reason(err))
+	return gateway.Result{Outcome: logic.Reset}
+}
+
+// reason names why an answer can't be used, for the counters.
+func reason(err error) string {
+	switch {
+	case errors.Is(err, errTooLarge):
+		return "too_large"
+	case errors.Is(err, errMalformed), errors.Is(err, errTooManyInterim):
+		return "malformed"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "stalled"
+	default:
+		return "cut_off"
 	}
-	return gateway.Result{Outcome: outcome(got.response), Body: got.body, Load: got.load, Ended: got.at}
 }
 
 // outcome reads the protocol's table of answers.
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -2,70 +2,94 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"merlinarch/internal/sock"
 )
 
 var errNoDescriptor = errors.New("no descriptor left for servers")
 
-// reply is what came back for a request.
-type reply struct {
-	response
-	err error
-	at  time.Time // when its last byte was read
-}
-
-// conn is a connection to a host. It carries one request at a time; a reader stands on it all its life, so
-// that one which the host closes while it is idle is noticed at once.
+// conn is a connection to a host. It carries one request at a time, and nothing reads from it in between. Danger:
+// bytes that were taken from the kernel while no answer was due, a second copy or noise, would pass for the next
+// answer; so they stay there, where silent sees them.
 type conn struct {
-	raw     net.Conn
-	br      *bufio.Reader
-	limit   sizes
-	replies chan reply
+	raw    net.Conn
+	br     *bufio.Reader // empty between requests
+	limits limits
 
-	mu   sync.Mutex
-	busy bool // a request is being written or waits for its answer
+	mu      sync.Mutex
+	givenUp bool // the attempt on it was: no deadline is set any more
 
 	shut   bool      // guarded by the pool
 	usedAt time.Time // guarded by the pool
 }
 
-func newConn(raw net.Conn, limit sizes) *conn {
-	return &conn{raw: raw, br: bufio.NewReader(raw), limit: limit, replies: make(chan reply, 1)}
+func newConn(raw net.Conn, l limits) *conn {
+	return &conn{raw: raw, br: bufio.NewReader(raw), limits: l}
 }
 
-// setBusy notes whether an answer is due.
-func (c *conn) setBusy(busy bool) {
+// silent tells that nothing has come on the connection since its last answer, not even its end. Danger: the kernel
+// takes bytes for a host that has closed long ago, and what came unasked would pass for the next answer.
+func (c *conn) silent() bool { return c.br.Buffered() == 0 && sock.Silent(c.raw) }
+
+// giveUp ends what is being written or read.
+func (c *conn) giveUp() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	c.givenUp = true
+	c.raw.SetDeadline(time.Unix(1, 0)) // it may have closed
 }
 
-func (c *conn) isBusy() bool {
+// readBy sets until when reads may take; zero is for ever.
+func (c *conn) readBy(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	if c.givenUp {
+		return context.Canceled
+	}
+	return c.raw.SetReadDeadline(t)
 }
 
-// read reads answers until the connection breaks, or something comes that nobody asked for. Danger: a second
-// answer to one request would pass for the answer to the next; so none is due any more once one is read.
-func (c *conn) read() {
-	for {
-		_, err := c.br.Peek(1)
-		if !c.isBusy() {
-			return
+// roundTrip writes a request and reads its answer, until ctx ends. written tells whether the request's last byte
+// was written.
+func (c *conn) roundTrip(ctx context.Context, text []byte) (r response, written bool, err error) {
+	release := context.AfterFunc(ctx, c.giveUp)
+	n, err := c.raw.Write(text)
+	if written = n == len(text); err == nil && written {
+		r, err = c.read()
+	}
+	if !release() { // its deadline is over, or will be at any moment
+		r.reusable = false
+	}
+	return r, written, err
+}
+
+// read reads one answer whole, interim ones skipped. Danger: half an answer passed on can't be repeated or failed
+// any more. Danger: one that claims more than it brings would hold its request until the time is over; once an
+// answer has begun, the rest has to follow. It hurts a host that pauses for longer within an answer.
+func (c *conn) read() (response, error) {
+	for range maxInterim {
+		if _, err := c.br.Peek(1); err != nil {
+			return response{}, err
+		}
+		if err := c.readBy(time.Now().Add(c.limits.whole)); err != nil {
+			return response{}, err
+		}
+		r, err := readResponse(c.br, c.limits)
+		if err != nil {
+			return response{}, err
 		}
-		r := reply{err: err}
-		if err == nil {
-			r.response, r.err = readResponse(c.br, c.limit)
+		if err := c.readBy(time.Time{}); err != nil && r.interim() {
+			return response{}, err
 		}
-		r.at, r.reusable = time.Now(), r.reusable && c.br.Buffered() == 0
-		c.setBusy(false)
-		c.replies <- r // there is room: each is awaited, or the connection is closed and none follows
-		if r.err != nil || !r.reusable {
-			return
+		if !r.interim() {
+			r.reusable = r.reusable && c.br.Buffered() == 0
+			return r, nil
 		}
 	}
+	return response{}, errTooManyInterim
 }
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"merlinarch/internal/config"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/metrics"
-	"merlinarch/internal/sock"
 	"merlinarch/logic"
 )
 
@@ -172,15 +172,21 @@
 	return p.hosts[server]
 }
 
-// take gives the idle connection that was used last, or nil. Danger: the kernel takes bytes for a host that
-// has closed long ago; so what is about to be used is looked at first.
+// take gives the idle connection that was used last, or nil. One that has just brought an answer is left alone
+// for a moment. Danger: what a host sends right behind an answer, a second copy or the connection's end, comes a
+// little later; a request written meanwhile would take the one for its answer, or be lost with the other. It
+// costs a connection more where one host is asked again at once.
 func (p *Pool) take(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for n := len(h.idle); n > 0; n = len(h.idle) {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		if !c.shut && sock.Silent(c.raw) && time.Since(c.usedAt) < p.limits.ServerIdle {
+	now := time.Now()
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		if now.Sub(c.usedAt) < p.limits.ServerSettle {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if !c.shut && now.Sub(c.usedAt) < p.limits.ServerIdle && c.silent() {
 			return c
 		}
 		p.count.Inc("connections.found_closed")
@@ -221,7 +227,7 @@
 		}
 		p.count.Inc("connections.evicted")
 		p.shut(oldest.idle[0])
-		oldest.idle = oldest.idle[1:]
+		oldest.idle = slices.Delete(oldest.idle, 0, 1)
 	}
 	p.open++
 	return true
@@ -248,26 +254,11 @@
 		return nil, err
 	}
 	p.count.Inc("connections.opened")
-	c := newConn(raw, sizes{p.limits.MaxHead, p.limits.MaxBody})
-	p.work.Go(func() { c.read(); p.ended(h, c) })
-	return c, nil
+	return newConn(raw, limits{p.limits.MaxHead, p.limits.MaxBody, p.limits.AnswerWhole}), nil
 }
 
-// ended removes a connection whose reader has stopped.
-func (p *Pool) ended(h *host, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, have := range h.idle {
-		if have == c {
-			h.idle = append(h.idle[:i], h.idle[i+1:]...)
-			p.count.Inc("connections.closed_by_server")
-			break
-		}
-	}
-	p.shut(c)
-}
-
-// retire closes idle connections before the machines' own limit does. Danger: a request that crosses the
+// retire closes idle connections before the machines' own limit does, and those that hosts have closed or said
+// something on. Danger: a request that crosses the
 // machine's close may have run, and one of an unsafe class could not be tried again.
 func (p *Pool) retire() {
 	tick := time.NewTicker(max(p.limits.ServerIdle/16, 10*time.Millisecond))
@@ -280,11 +271,15 @@
 		}
 		p.mu.Lock()
 		for _, h := range p.hosts {
-			for len(h.idle) > 0 && time.Since(h.idle[0].usedAt) >= p.limits.ServerIdle {
-				p.count.Inc("connections.retired")
-				p.shut(h.idle[0])
-				h.idle = h.idle[1:]
-			}
+			h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
+				old := time.Since(c.usedAt) >= p.limits.ServerIdle
+				if !old && c.silent() {
+					return false
+				}
+				p.count.Inc(map[bool]string{true: "connections.retired", false: "connections.found_closed"}[old])
+				p.shut(c)
+				return true
+			})
 		}
 		p.mu.Unlock()
 	}
--- a/internal/servers/response.go
+++ b/internal/servers/response.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"merlinarch/internal/settings"
 	"merlinarch/logic"
@@ -33,33 +34,37 @@
 	reusable bool // the connection may carry another request
 }
 
-// sizes bounds what is read of an answer.
-type sizes struct{ head, body int }
+// interim tells that the final answer is yet to come.
+func (r response) interim() bool { return r.status/100 == 1 && r.status != 101 }
+
+// limits bound what is read of an answer.
+type limits struct {
+	head, body int
+	whole      time.Duration // from its first byte to its last
+}
+
+// maxInterim is how many answers may come to a request, interim ones included.
+const maxInterim = 8
 
 var (
-	errTooLarge  = errors.New("answer too large")
-	errMalformed = errors.New("malformed answer")
+	errTooLarge       = errors.New("answer too large")
+	errMalformed      = errors.New("malformed answer")
+	errTooManyInterim = errors.New("too many interim answers")
 )
 
-// readResponse reads one answer whole, interim ones skipped. Danger: half an answer passed on can't be
-// repeated or failed any more; and one whose length is in doubt would spill into the next.
-func readResponse(r *bufio.Reader, limit sizes) (response, error) {
-	for {
-		left := limit.head
-		resp, framing, err := readHead(r, &left)
-		if err != nil {
-			return response{}, err
-		}
-		if resp.status/100 == 1 && resp.status != 101 {
-			continue
-		}
-		resp.body, err = readBody(r, framing, limit)
-		if err != nil {
-			return response{}, err
-		}
-		resp.reusable = !framing.close && !framing.untilEnd
-		return resp, nil
+// readResponse reads one answer whole. Danger: one whose length is in doubt would spill into the next.
+func readResponse(r *bufio.Reader, limit limits) (response, error) {
+	left := limit.head
+	resp, framing, err := readHead(r, &left)
+	if err != nil {
+		return response{}, err
+	}
+	resp.body, err = readBody(r, framing, limit)
+	if err != nil {
+		return response{}, err
 	}
+	resp.reusable = !framing.close && !framing.untilEnd
+	return resp, nil
 }
 
 // framing tells how an answer's body ends.
@@ -118,7 +123,7 @@
 			break
 		}
 		name, value, ok := strings.Cut(text, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+		if !ok || name == "" || strings.ContainsFunc(name, notToken) || strings.ContainsFunc(value, control) {
 			return response{}, framing{}, fmt.Errorf("%w: header line %.60q", errMalformed, text)
 		}
 		if err := resp.header(&f, strings.ToLower(name), strings.Trim(value, " \t")); err != nil {
@@ -131,10 +136,21 @@
 	if status/100 == 1 || status == 204 || status == 304 {
 		f.chunked, f.length = false, 0
 	}
-	f.untilEnd = !f.chunked && f.length < 0
+	// Danger: where neither a length nor the end of the connection was told, one that broke off passes for whole.
+	if f.untilEnd = !f.chunked && f.length < 0; f.untilEnd && !f.close {
+		return response{}, framing{}, fmt.Errorf("%w: no framing", errMalformed)
+	}
 	return resp, f, nil
 }
 
+// control tells of a character that no header may hold.
+func control(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
+// notToken tells of a character that no header's name may hold.
+func notToken(c rune) bool {
+	return c <= ' ' || c >= 0x7f || strings.ContainsRune("\"(),/:;<=>?@[\\]{}", c)
+}
+
 // header takes in one header.
 func (resp *response) header(f *framing, name, value string) error {
 	switch name {
@@ -162,7 +178,7 @@
 }
 
 // readBody reads a body to its end.
-func readBody(r *bufio.Reader, f framing, limit sizes) ([]byte, error) {
+func readBody(r *bufio.Reader, f framing, limit limits) ([]byte, error) {
 	switch {
 	case f.chunked:
 		return readChunks(r, limit)
@@ -181,7 +197,7 @@
 }
 
 // readChunks reads a chunked body and its trailer.
-func readChunks(r *bufio.Reader, limit sizes) ([]byte, error) {
+func readChunks(r *bufio.Reader, limit limits) ([]byte, error) {
 	var body []byte
 	for left := limit.head + limit.body; ; { // chunks of a byte each have longer heads than data
 		text, err := line(r, &left)
