--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -150,7 +151,11 @@
 func (p *Pool) Recall(build logic.BuildID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recalled[build] = time.Now()
+	now := time.Now()
+	maps.DeleteFunc(p.recalled, func(_ logic.BuildID, at time.Time) bool {
+		return now.Sub(at) > p.limits.MaxWait // what was decided before has ended; builds follow one another for ever
+	})
+	p.recalled[build] = now
 }
 
 // late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -524,6 +524,33 @@
 	}
 }
 
+// Neither builds, nor hosts, nor their lives leave anything behind.
+func TestNothingGrowsWithBuilds(t *testing.T) {
+	limits := testLimits()
+	limits.MaxWait = 0
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for answer(c, r, fine) != nil {
+		}
+	})
+	p, _ := newPool(t, limits, h.host(1))
+	for b := logic.BuildID(8); b < 40; b++ {
+		fresh := h.host(logic.ServerID(b))
+		fresh.Build = b
+		p.Listed(false, []gateway.Host{fresh})
+		if r := send(t, p, gateway.Attempt{Server: fresh.ID}); r.Outcome != logic.OK {
+			t.Fatalf("outcome %v", r.Outcome)
+		}
+		p.Recall(b)
+		fresh.State = logic.Gone
+		p.Listed(false, []gateway.Host{fresh})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.recalled) != 1 || len(p.hosts) != 1 || p.open != 0 {
+		t.Errorf("%d recalled builds, %d hosts, %d connections are kept", len(p.recalled), len(p.hosts), p.open)
+	}
+}
+
 // Short of descriptors the oldest idle connection closes, and where none is idle the send is given up.
 func TestShortOfDescriptors(t *testing.T) {
 	limits := testLimits()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,8 +25,7 @@
 	trialPart    = 0.8                    // first sends to the build on trial, as a part of the cap
 	youngServer  = 3 * time.Second        // outcomes of servers younger than this are no evidence
 	stageTimeout = 5 * time.Second        // after the newest machine's listing a voter tests what it has
-	reportEvery  = 250 * time.Millisecond // counts go to the voters so often at most
-	reportLast   = 2 * time.Second        // and so often at least
+	reportEvery  = 250 * time.Millisecond // counts go to the voters so often, or 8 times as rarely
 	reportBytes  = 64                     // bytes of messages that a request pays for
 )
 
@@ -36,11 +35,10 @@
 	stallAfter = 100 * time.Millisecond // a tick this late tells that the router stood still
 
 	suspectChance = 0.01                   // a run of failures less likely than this makes a server suspect
-	suspectFirst  = 500 * time.Millisecond // it is left alone this long, then twice, ...
-	suspectLast   = 8 * time.Second
-	failsLeast    = 0.05 // the least part of failures that counts as usual
+	suspectFirst  = 500 * time.Millisecond // it is left alone this long, then twice, ... up to 16 times
+	failsLeast    = 0.05                   // the least part of failures that counts as usual
 
-	coldPart     = 0.6  // part of a cold server's fall budget that all routers together may use
+	coldPart     = 0.85 // part of a cold server's fall budget that all routers together may use
 	carriedOver  = 10.0 // seconds over which the rate of served requests is smoothed
 	leastCarried = 0.25 // of the rate of requests: what counts as served in any case
 
@@ -61,8 +59,7 @@
 	anywhereTry  = 0.1                    // then so many are tried again
 	connectSlow  = 0.3                    // of the aim later on new connections: connecting is slow
 
-	limitStart    = 3.0 // concurrency limit at start, attempts a server
-	limitLeast    = 1.5 // and at least, attempts a server that all routers together may have out
+	limitStart    = 3.0 // concurrency limit at start, attempts a server; half of it at least, of all routers
 	limitCut      = 0.9
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
@@ -82,12 +79,12 @@
 	fleetCap    = 0.4             // with less traffic a build hardly slows a fleet
 	fleetTime   = 7 * time.Second // after the release; later slowness has other causes
 	fleetMargin = 0.1             // more slow answers than before the trial by this are harm to the fleet
-	fleetMiss   = 0.05            // slow answers are no harm while no more than this part misses the aim
+	fleetMiss   = 0.05            // slow answers are no harm while no more than this part misses the aim,
+	fleetMuch   = 0.25            // unless this many more of them are slow
 	busyDemand  = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
 
 	launchWait  = 10 * time.Second        // a stage whose machines never get listed is tested after this
-	voteStagger = 1200 * time.Millisecond // a voter waits this long for each one before it to say 'on'
-	backStagger = 400 * time.Millisecond  // the same for 'back'
+	voteStagger = 1200 * time.Millisecond // a voter waits so long for each before it, a third for 'back'
 	voteRetry   = 700 * time.Millisecond  // pause after a vote that did not count
 	voteRenew   = 500 * time.Millisecond  // a vote is renewed this long before it lapses
 )
@@ -209,7 +206,7 @@
 		return true
 	}
 	rate := ramp * r.coldRate() * r.groupOf(s.Build).spread() // others keep away
-	depth := max(1, rate*r.s.FallTime.Seconds()/2)
+	depth := max(1, rate*r.s.FallTime.Seconds()/8)
 	s.spent = max(0, s.spent-rate*(r.now-s.spentAt).Seconds())
 	s.spentAt = r.now
 	if spend {
@@ -242,7 +239,7 @@
 // requests that fail anywhere would pause all, so a run must be unlikely at the usual part of failures.
 func (r *Router) blame(s *server, sure bool) {
 	if s.fails++; sure || math.Pow(max(r.failing, failsLeast), float64(s.fails)) < suspectChance {
-		s.pause = min(max(2*s.pause, suspectFirst), suspectLast)
+		s.pause = min(max(2*s.pause, suspectFirst), 16*suspectFirst)
 		s.until = r.now + s.pause
 	}
 }
@@ -634,6 +631,8 @@
 	r.unserved += float64(count(!r.s.MarksRetry)) // its client may well come again
 	if !q.out {
 		delete(r.reqs, q.ID)
+	} else if r.s.CanCancel { // nobody waits for what its server may still have to do
+		r.do(Cancel{ID: q.ID, Attempt: q.attempts - 1})
 	}
 }
 
@@ -649,7 +648,7 @@
 	} else if float64(r.inFlight) > 0.7*r.limit {
 		r.limit++
 	}
-	r.limit = max(r.limit, 2, limitLeast*float64(len(r.list))/float64(max(1, r.s.Peers)))
+	r.limit = max(r.limit, 2, limitStart/2*float64(len(r.list))/float64(max(1, r.s.Peers)))
 	r.answers, r.late = 0, 0
 }
 
@@ -768,7 +767,7 @@
 		return
 	}
 	data := r.own().Encode()
-	r.reportAt = r.now + min(max(r.paid(len(data)*voters, reportBytes), reportEvery), reportLast)
+	r.reportAt = r.now + min(max(r.paid(len(data)*voters, reportBytes), reportEvery), 8*reportEvery)
 	for _, v := range r.voters {
 		if v != r.s.Self && (r.rel.Phase == OnTrial || r.rel.Phase == Released && r.total.Old.N > 0) {
 			r.do(Post{Peer: v, Data: data})
@@ -918,6 +917,7 @@
 			r.voters, r.total, r.slowEarly = r.votersOf(e.Build), Counts{}, 1-slowPart
 			r.usual = max(r.demand, 0.01) * float64(count(known))
 			r.setMarks()
+			r.forgetBuilds()
 		}
 		r.counts, r.vote, r.stageAt = Counts{}, voteState{}, r.now-e.Age
 		clear(r.seen)
@@ -937,7 +937,7 @@
 	stage, total := r.pooled()
 	verdict, why := VoteNone, ""
 	if v.verdict != VoteBack && r.now >= v.guardAt {
-		v.guardAt = r.now + guardEvery
+		v.guardAt = r.now + guardEvery/time.Duration(1+4*count(r.rel.Cap >= fleetCap)) // it goes on soon
 		if r.guard(total) {
 			verdict, why = VoteBack, "errors"
 		} else if r.slowed(stage) {
@@ -962,7 +962,7 @@
 		}
 	}
 	if verdict != VoteNone {
-		wait := map[Verdict]time.Duration{VoteOn: voteStagger, VoteBack: backStagger}[verdict]
+		wait := map[Verdict]time.Duration{VoteOn: voteStagger, VoteBack: voteStagger / 3}[verdict]
 		v.tested, v.verdict, v.at = true, verdict, r.now+time.Duration(rank)*wait
 		r.do(Log{fmt.Sprintf("build %d stage %d: %s; old, new (n miss err slow wrong): %v total %v",
 			r.rel.Build, r.rel.Stage, why, stage, total)})
@@ -999,8 +999,8 @@
 	}
 	for _, now := range []Arm{stage.Old, stage.New} {
 		slow := uint32(r.slowEarly * float64(before))
-		if now.Timed >= horizon && (share(now.Miss, now.N) < fleetMiss || // slow, but still in time
-			share(now.Slow, now.Timed) <= share(slow, before)+fleetMargin ||
+		more, missed := share(now.Slow, now.Timed)-share(slow, before), share(now.Miss, now.N)
+		if now.Timed >= horizon && (more <= fleetMargin || more < fleetMuch && missed < fleetMiss ||
 			harm(r.rng, before, slow, now.Timed, now.Slow, fleetMargin) >= level) {
 			return false
 		}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -420,3 +421,73 @@
 		t.Errorf("%d attempts at servers that are gone, %d of 400 served", gone, served)
 	}
 }
+
+// An attempt whose client has gone is cancelled: nobody waits for what its server may still have to do. Where the
+// host can't cancel it goes on.
+func TestGoneClientsAttemptIsCancelled(t *testing.T) {
+	for _, can := range []bool{true, false} {
+		s := testSettings()
+		s.CanCancel = can
+		g := ready(t, s, host(1))
+		sent := g.arrive("a", "read", time.Second)
+		if len(sent) != 1 {
+			t.Fatalf("sent %v", sent)
+		}
+		g.lines = nil
+		g.feed(ClientGone{ID: "a"})
+		want := fmt.Sprintf("%v %T%+v", g.now, Cancel{}, Cancel{ID: "a"})
+		if got := slices.Contains(g.lines, want); got != can {
+			t.Errorf("host can cancel: %v; actions %v, want %s", can, g.lines, want)
+		}
+		g.end(sent[0], Cancelled)
+		if len(g.r.reqs) > 0 || g.r.inFlight != 0 || g.r.servers[1].inFlight != 0 {
+			t.Error("it is kept")
+		}
+	}
+}
+
+// Builds that follow one another for ever, servers that come back with them, routers that restart and keys that
+// are always new leave nothing behind.
+func TestNothingGrowsWithBuilds(t *testing.T) {
+	s := testSettings()
+	s.Rollout.ForwardOnly, s.Rollout.PerClass = true, true
+	g := ready(t, s, host(1), host(2))
+	sizes := func() [8]int {
+		return [8]int{len(g.r.peers), len(g.r.budgets), len(g.r.bad), len(g.r.sticky), len(g.r.servers), len(g.r.reqs),
+			len(g.r.heard), len(g.ticks)}
+	}
+	var early [8]int
+	for b := BuildID(2); b < 60; b++ {
+		g.release(b, 2, OnTrial, 1)
+		fresh := host(2, build(b), started(g.now))
+		g.feed(ServersListed{Servers: []Server{fresh}})
+		for key := range 20 {
+			id := fmt.Sprint(b, "/", key)
+			for _, x := range g.feed(RequestArrived{ID: RequestID(id), Class: "read", Tenant: "t", Left: time.Second,
+				Key: uint64(b)*100 + uint64(key), HasKey: true}) {
+				g.end(x, OK)
+			}
+			g.pass(50 * ms)
+		}
+		for peer := 1; peer < 3; peer++ {
+			for life := range 3 {
+				m := Report{Incarnation: uint32(b)*10 + uint32(life), Build: b, Stage: 2}
+				g.feed(PeerMessage{From: peer, Data: m.Encode()})
+			}
+		}
+		if b%2 == 0 {
+			g.release(b, 2, Withdrawn, 0)
+		} else {
+			g.release(b, 2, Released, 1)
+			g.list(host(1, build(b)), fresh)
+		}
+		g.pass(2 * time.Second)
+		if b == 9 {
+			early = sizes()
+		}
+	}
+	late := sizes()
+	if slices.ContainsFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, func(i int) bool { return late[i] > 2*early[i] }) {
+		t.Errorf("after 8 builds %v, after 58 %v (reports, budgets, bad builds, keys, servers, requests, peers, timers)", early, late)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -223,6 +224,19 @@
 	}
 }
 
+// forgetBuilds drops what is kept of builds that can't matter any more. Danger: builds follow one another for as
+// long as the router runs, and peers restart; each would leave something behind.
+func (r *Router) forgetBuilds() {
+	oldest := r.rel.Build
+	for _, s := range r.list {
+		oldest = min(oldest, s.Build)
+	}
+	maps.DeleteFunc(r.peers, func(_ peerKey, m Report) bool { return m.Build < r.rel.Build })
+	maps.DeleteFunc(r.budgets, func(k budgetKey, _ *budget) bool { return k.build < r.rel.Build })
+	maps.DeleteFunc(r.bad, func(b BuildID, _ bool) bool { return b < oldest })
+	maps.DeleteFunc(r.sticky, func(_ uint64, b BuildID) bool { return b <= oldest })
+}
+
 // groupOf is the build on trial's group, or the ordinary one.
 func (r *Router) groupOf(b BuildID) group {
 	if b == r.trialID {
