--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -74,8 +74,9 @@
 		p.discard(c)
 	}
 	switch {
+	case !written && ctx.Err() != nil: // given up: the host is not to blame
+		return gateway.Result{Outcome: logic.NotSent}
 	case !written:
-		r.room.free()
 		return gateway.Result{Outcome: logic.ConnectFailed}
 	case err == nil && outcome(r) != logic.OK: // its body is of no use
 		r.room.free()
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -234,6 +235,22 @@
 	}
 }
 
+// Given up before its last byte was written, a request never ran, and its host is not to blame.
+func TestGivenUpBeforeLastByte(t *testing.T) {
+	a, b := net.Pipe() // nobody reads
+	defer b.Close()
+	p, _ := newPool(t, testLimits())
+	c := newConn(a, testSizes)
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	ctx, stop := context.WithCancel(t.Context())
+	time.AfterFunc(5*time.Millisecond, stop)
+	if r := p.exchange(ctx, &host{}, c, []byte("text")); r.Outcome != logic.NotSent {
+		t.Errorf("outcome %v", r.Outcome)
+	}
+}
+
 // A connection that the host has closed while it was idle must not take a request.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
--- a/logic/judge_test.go
+++ b/logic/judge_test.go
@@ -272,6 +272,35 @@
 	}
 }
 
+// A few errors of few answers are told apart from chance long before the walk can; the same errors of many answers,
+// or as many at the old build, are not harm.
+func TestGuardSeesFewErrors(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		counts Counts
+		want   bool
+	}{
+		{"five of 116", Counts{Old: Arm{N: 1641, Err: 1}, New: Arm{N: 116, Err: 5}}, true},
+		{"three of 116", Counts{Old: Arm{N: 1641, Err: 1}, New: Arm{N: 116, Err: 3}}, false},
+		{"five of 900", Counts{Old: Arm{N: 1641, Err: 1}, New: Arm{N: 900, Err: 5}}, false},
+		{"as many at the old build", Counts{Old: Arm{N: 1641, Err: 70}, New: Arm{N: 116, Err: 5}}, false},
+	} {
+		g := voter(t)
+		if got := g.r.guard(c.counts); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	for _, c := range []struct {
+		mean float64
+		n    uint32
+		want float64
+	}{{1, 0, 1}, {1, 1, 0.6321}, {2, 4, 0.1429}, {0.63, 5, 0.000489}} {
+		if got := tail(c.mean, c.n); math.Abs(got-c.want) > 1e-4 {
+			t.Errorf("tail(%v, %d) = %v, want %v", c.mean, c.n, got, c.want)
+		}
+	}
+}
+
 func TestGuardAfterTheRelease(t *testing.T) {
 	g := voter(t)
 	g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,10 +64,9 @@
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
 
-	busyLife  = time.Second            // attempts out that a peer told of count so long
-	busyEvery = 100 * time.Millisecond // they are told so often at most
-	busyBytes = 512                    // bytes of such messages that a request pays for
-	busyHead  = 20                     // bytes that any message costs besides its own
+	busyLife  = time.Second // attempts out that a peer told of count so long; told 10 times in it at most
+	busyBytes = 512         // bytes of such messages that a request pays for
+	busyHead  = 20          // bytes that any message costs besides its own
 
 	guardEvery  = time.Second     // pause between the guards' tests
 	guardErrors = 4               // fewer errors than this say nothing
@@ -83,7 +82,6 @@
 	fleetMuch   = 0.25            // but, in a trial, if so many more are slow and take so much of the aim
 	busyDemand  = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
 
-	launchWait  = 10 * time.Second        // a stage whose machines never get listed is tested after this
 	voteStagger = 1200 * time.Millisecond // a voter waits so long for each before it, a third for 'back'
 	voteRetry   = 700 * time.Millisecond  // pause after a vote that did not count
 	voteRenew   = 500 * time.Millisecond  // a vote is renewed this long before it lapses
@@ -329,11 +327,10 @@
 	if stage < r.s.Rollout.ClosedStages && c.Repeat != Safe {
 		return 0
 	}
-	places := float64(r.fitOf(r.base))
+	places, fresh := float64(r.fitOf(r.base)), 0.0
 	if places == 0 {
 		return 1
 	}
-	fresh := 0.0
 	for _, s := range r.trial.all {
 		if s.until <= r.now && r.coldRoom(s, false) { // else the few warm ones would get the others' part
 			fresh += r.ramp(s)
@@ -457,8 +454,7 @@
 		}
 	}
 	if limit, _ := r.trialCap(r.trialID); r.trialID != 0 { // every request earns its part of an attempt
-		b := r.budget(r.trialID, c)
-		b.earned = min(1, b.earned+limit)
+		r.budget(r.trialID, c).earn(limit)
 	}
 	r.draw(q)
 	if !r.try(q) {
@@ -672,7 +668,8 @@
 	r.pass++
 	r.waiting = slices.DeleteFunc(r.waiting, func(q *request) bool {
 		room--
-		late := r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+q.class.Aim
+		wait := min(q.class.Aim, q.Left>>count(q.attempts == 0)-tickEvery) // unsent: half its time
+		late := r.deadlineNear(q) || r.now+time.Duration(q.class.took*1e9) > q.arrived+wait
 		if !q.ended && (late || room < 0) {
 			r.finish(q)
 		}
@@ -792,7 +789,7 @@
 		}
 	}
 	data := m.Encode()
-	period := max(r.paid((busyHead+len(data))*(r.s.Peers-1), busyBytes), busyEvery)
+	period := max(r.paid((busyHead+len(data))*(r.s.Peers-1), busyBytes), busyLife/10)
 	if r.alone = period > busyLife; !r.alone {
 		r.do(Post{Peer: -1, Data: data})
 	}
@@ -945,7 +942,7 @@
 		}
 	}
 	if !v.tested && r.rel.Phase == OnTrial && verdict == VoteNone {
-		due, least := r.stageAt+launchWait, r.stageAt+launchWait
+		due, least := r.stageAt+2*stageTimeout, r.stageAt+2*stageTimeout // also if none gets listed
 		if r.listedAt > r.stageAt {
 			due, least = r.listedAt+stageTimeout, r.listedAt+r.s.Rollout.MinStage
 		}
@@ -977,11 +974,14 @@
 
 // guard is the exception for builds that turn bad after their test: late, under load, for a class that was
 // closed, or by few wrong answers, of which only a part is flagged. The same walk compares errors, at less
-// than the main test's margin: healthy builds hardly ever err, so asking often costs good ones little.
+// than the main test's margin; the exact tail tells a few errors of few answers, where the walk can't yet:
+// healthy builds hardly ever err, so asking often costs good ones little.
 func (r *Router) guard(c Counts) bool {
 	erred, usual := c.New.Err+c.New.Wrong, c.Old.Err+c.Old.Wrong
-	return erred >= guardErrors && share(erred, c.New.N) > share(usual, c.Old.N)+guardMargin &&
-		harm(r.rng, c.Old.N, usual, c.New.N, erred, guardMargin) < level
+	most := share(usual, c.Old.N) + guardMargin
+	few := tail(float64(c.New.N)*most, erred) < level/20
+	return erred >= guardErrors && share(erred, c.New.N) > most &&
+		(few || harm(r.rng, c.Old.N, usual, c.New.N, erred, guardMargin) < level)
 }
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -491,3 +491,20 @@
 		t.Errorf("after 8 builds %v, after 58 %v (reports, budgets, bad builds, keys, servers, requests, peers, timers)", early, late)
 	}
 }
+
+// A request that nothing was sent for is given up before half of its time is over, with advice.
+func TestUnsentRequestsAreGivenUpEarly(t *testing.T) {
+	s := testSettings()
+	g := ready(t, s) // no server
+	for _, left := range []time.Duration{600 * ms, 4 * time.Second} {
+		id := left.String()
+		from := g.now
+		g.arrive(id, "read", left)
+		for !g.refused[RequestID(id)] && g.now < from+left {
+			g.pass(10 * ms)
+		}
+		if took := g.now - from; took > left/2 || took > s.Classes[0].Aim+tickEvery {
+			t.Errorf("of %v it took %v", left, took)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -157,6 +157,9 @@
 	slots  []time.Duration // when each free slot was last used
 }
 
+// earn adds what one request is worth.
+func (b *budget) earn(part float64) { b.earned = min(1, b.earned+part) }
+
 type voteState struct {
 	verdict      Verdict
 	at, out      time.Duration // when to cast it, or cast it again; when the one unanswered was cast, 0: none
@@ -245,6 +248,16 @@
 	return most
 }
 
+// tail is the chance of n events or more where mean are expected, by Poisson's law.
+func tail(mean float64, n uint32) float64 {
+	p, sum := math.Exp(-mean), 0.0
+	for k := range n {
+		sum += p
+		p *= mean / float64(k+1)
+	}
+	return max(0, 1-sum)
+}
+
 // groupOf is the build on trial's group, or the ordinary one.
 func (r *Router) groupOf(b BuildID) group {
 	if b == r.trialID {
