--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,6 @@
 	reportBytes  = 64                     // bytes of messages that a request pays for
 )
 
-// Values for what the design leaves open, by concern.
 const (
 	tickEvery  = 50 * time.Millisecond
 	stallAfter = 100 * time.Millisecond // a tick this late tells that the router stood still
@@ -721,11 +720,12 @@
 		return
 	}
 	own := r.anywhere > anywhereMuch || q.class.Repeat != Unsafe
+	fresh := r.rel.Phase == Released && r.now < r.stageAt+fleetTime // no other build is left to ask
 	if o != nil && (*o == OK || *o == ServerError) {
 		own = *o != OK
 		blend(&r.anywhere, symptomStep, float64(count(own)))
 	}
-	if own {
+	if own && !fresh {
 		q.first = first{}
 		r.unserved++
 	}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -308,6 +308,27 @@
 	}
 }
 
+// Just after a release another server runs the same build: that it fails too clears nothing. Later, requests that
+// fail anywhere are their own fault again.
+func TestSecondTryOfAReleasedBuildClearsNothing(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		want  uint32
+	}{{time.Second, 1}, {fleetTime + time.Second, 0}} {
+		g := newRig(t, testSettings(), 3)
+		g.list(host(1, build(2)), host(2, build(2)))
+		g.release(2, 2, OnTrial, 1)
+		g.release(2, 2, Released, 1)
+		g.pass(c.after)
+		for _, s := range g.end(g.arrive("r", "read", 4*time.Second)[0], ServerError) {
+			g.end(s, ServerError)
+		}
+		if got := g.r.total.New.Err; got != c.want {
+			t.Errorf("%v after the release: %d errors count, want %d", c.after, got, c.want)
+		}
+	}
+}
+
 // Danger: slow handshakes pass for a bad build, since all connections to its new servers are new. They are told
 // by the ordinary build's servers, and then only answers on open connections count.
 func TestSlowConnectingIsNoEvidence(t *testing.T) {
