--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,7 +79,7 @@
 	fleetMargin = 0.1             // more slow answers than before the trial by this are harm to the fleet
 	fleetMiss   = 0.05            // slow answers are no harm while no more than this part misses the aim,
 	fleetMuch   = 0.25            // but, in a trial, if so many more are slow and take so much of the aim
-	busyDemand  = 1.15            // beyond this multiple of the usual requests, slowness is laid to them
+	busyDemand  = 1.3             // beyond this multiple of the usual requests, slowness is laid to them
 
 	voteStagger = 1200 * time.Millisecond // a voter waits so long for each before it, a third for 'back'
 	voteRetry   = 700 * time.Millisecond  // pause after a vote that did not count
