--- a/logic/judge_test.go
+++ b/logic/judge_test.go
@@ -374,6 +374,27 @@
 	}
 }
 
+// Where no earlier server is left, what they did before is no sign that the fleet is well; few outcomes still are none.
+func TestFleetSlowedWithoutEarlierServers(t *testing.T) {
+	for _, c := range []struct {
+		left bool // an earlier server
+		n    uint32
+		want bool
+	}{{true, 200, false}, {false, 200, true}, {false, 5, false}} {
+		g := voter(t)
+		k := g.r.classes["read"]
+		k.mark, k.before = 0.1, uint32(len(k.times))
+		g.r.usual, g.r.demand, g.r.rel.Cap = 10, 10, 1
+		if !c.left {
+			g.r.base.all = nil
+		}
+		counts := Counts{Old: Arm{N: 300, Timed: 300, Slow: 70}, New: Arm{N: c.n, Timed: c.n, Slow: c.n * 8 / 10, Miss: c.n / 5}}
+		if got := g.r.slowed(counts); got != c.want {
+			t.Errorf("earlier servers left: %v, %d outcomes: %v, want %v", c.left, c.n, got, c.want)
+		}
+	}
+}
+
 func TestPooledCounts(t *testing.T) {
 	one := Counts{Old: Arm{N: 10, Miss: 1}, New: Arm{N: 2, Miss: 1}}
 	two := Counts{Old: Arm{N: 20, Miss: 2}, New: Arm{N: 4, Miss: 1}}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,14 +41,13 @@
 	carriedOver  = 10.0 // seconds over which the rate of served requests is smoothed
 	leastCarried = 0.25 // of the rate of requests: what counts as served in any case
 
-	fewLeast   = 6   // servers of a group that a lonely router keeps to
-	fewWithin  = 3.0 // or as many as it has requests in so many seconds
-	throws     = 6   // random draws of a server before a search
-	crossLoad  = 6.0 // attempts in flight that one point of cross-zone price is worth
-	nearLiking = 8.0 // times the cross-zone price: the chance that one choice is a near server
-	lateSpare  = 2.0 // the trial share falls by this times the part of late answers
-	spillOver  = 1.3 // drawn requests go to the old build if new servers are so much busier
-	stickySeen = 2   // under forward-only keys met more often do not try a closed stage
+	fewLeast, fewWithin = 6, 3.0 // servers that a lonely router keeps to, or its requests in so many seconds
+	throws              = 6      // random draws of a server before a search
+	crossLoad           = 6.0    // attempts in flight that one point of cross-zone price is worth
+	nearLiking          = 8.0    // times the cross-zone price: the chance that one choice is a near server
+	lateSpare           = 2.0    // the trial share falls by this times the part of late answers
+	spillOver           = 1.3    // drawn requests go to the old build if new servers are so much busier
+	stickySeen          = 2      // under forward-only keys met more often do not try a closed stage
 
 	symptomStep  = 0.08                   // of the parts of attempts that show a symptom, each attempt
 	idleLong     = 500 * time.Millisecond // connections unused for longer may have been dropped unseen
@@ -720,7 +719,7 @@
 		return
 	}
 	own := r.anywhere > anywhereMuch || q.class.Repeat != Unsafe
-	fresh := r.rel.Phase == Released && r.now < r.stageAt+fleetTime // no other build is left to ask
+	fresh := len(r.base.all) == 0 || r.rel.Phase == Released && r.now < r.stageAt+fleetTime // no other to ask
 	if o != nil && (*o == OK || *o == ServerError) {
 		own = *o != OK
 		blend(&r.anywhere, symptomStep, float64(count(own)))
@@ -994,6 +993,7 @@
 	if old := stage.Old; r.rel.Stage == 0 && !wide && !r.vote.busy && old.Timed >= horizon {
 		r.slowEarly = max(1-slowPart, share(old.Slow, old.Timed)) // not the build's doing yet
 	}
+	stage.Old = map[bool]Arm{true: stage.Old}[len(r.base.all) > 0] // of earlier servers, if some are left
 	if !wide || r.vote.busy || max(stage.Old.Timed, stage.New.Timed) < horizon {
 		return false
 	}
