--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -1,96 +1,143 @@
-// Command merlinarch is the router on sockets round the decision module.
+// Command merlinarch is the router on sockets round the decision module, and the tools round it.
 package main
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/features"
 	"merlinarch/internal/logging"
 )
 
 // Exit codes.
 const (
 	exitOK      = 0
-	exitFailed  = 1 // it could not serve, or stopped serving
-	exitBadCall = 2 // the command line or the configuration is wrong
+	exitFailed  = 1 // it could not serve, or stopped serving; a tool found what it looks for
+	exitBadCall = 2 // the command line, the configuration or a script is wrong
 )
 
-const usage = `usage: merlinarch COMMAND [flags]
-
-commands:
-  serve     run the router; SIGUSR1 prints its counters, SIGHUP reads the addresses of discovery and platform
-            anew, SIGTERM ends it once all is answered
-  check     read the configuration and tell what is wrong with it, without serving
-  version   print the version
-  help      print this text
+// failure is an error that is not the caller's: exit code 1.
+type failure struct{ error }
 
-flags of serve and check:
-  -config FILE     the configuration; LB_CONFIG if not given
-  -log-level LEVEL debug, info, warn or error (info)
-
-LB_NAME, LB_LISTEN and LB_DISCOVERY come before what the configuration says.
-`
+func (f failure) Unwrap() error { return f.error }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) }
 
 // run carries out one command line and gives the exit code.
 func run(args []string, out, errOut io.Writer, env func(string) string) int {
-	if len(args) == 0 {
-		fmt.Fprint(errOut, usage)
-		return exitBadCall
-	}
-	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
-	flags.SetOutput(errOut)
-	switch args[0] {
-	case "help", "-h", "-help", "--help":
-		fmt.Fprint(out, usage)
+	root := &cobra.Command{Use: "merlinarch", Short: "A gateway with a release guard", SilenceUsage: true,
+		SilenceErrors: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		RunE: func(c *cobra.Command, _ []string) error {
+			return fmt.Errorf("expected a command\n%s", c.UsageString())
+		}}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.SetArgs(twoDashes(args))
+	root.AddCommand(serveCommand(env), checkCommand(env), versionCommand())
+	err := root.Execute()
+	if err == nil {
 		return exitOK
-	case "version":
-		fmt.Fprintln(out, version())
-		return exitOK
-	case "serve", "check":
-	default:
-		fmt.Fprintf(errOut, "merlinarch: unknown command %q\n%s", args[0], usage)
-		return exitBadCall
-	}
-	path := flags.String("config", "", "the configuration file; "+config.EnvFile+" if not given")
-	level := flags.String("log-level", "info", "debug, info, warn or error")
-	if err := flags.Parse(args[1:]); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitOK
-		}
-		return exitBadCall
 	}
-	if flags.NArg() > 0 {
-		fmt.Fprintf(errOut, "merlinarch: unexpected argument %q\n", flags.Arg(0))
-		return exitBadCall
+	fmt.Fprintf(errOut, "merlinarch: %v\n", err)
+	if errors.As(err, new(failure)) {
+		return exitFailed
 	}
-	c, err := config.Load(*path, env)
-	if err != nil {
-		fmt.Fprintf(errOut, "merlinarch: %v\n", err)
-		return exitBadCall
+	return exitBadCall
+}
+
+// twoDashes writes the long flags that were once told with one dash as the library wants them.
+func twoDashes(args []string) []string {
+	out := slices.Clone(args)
+	for i, a := range out {
+		for _, name := range []string{"-config", "-log-level", "-help"} {
+			if a == name || strings.HasPrefix(a, name+"=") {
+				out[i] = "-" + a
+			}
+		}
 	}
-	log, err := logging.New(*level)
+	return out
+}
+
+// files are the flags of serve and check.
+type files struct{ config, level, settings string }
+
+func (f *files) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.config, "config", "", "the configuration `FILE`; "+config.EnvFile+" if not given")
+	c.Flags().StringVar(&f.level, "log-level", "info", "debug, info, warn or error")
+	c.Flags().StringVar(&f.settings, "settings", "", "`FILE` that switches on what the platform does not ask for; all off without")
+}
+
+func serveCommand(env func(string) string) *cobra.Command {
+	var f files
+	c := &cobra.Command{Use: "serve", Short: "Run the router", Args: noMore, Long: `Run the router.
+
+SIGUSR1 prints its counters, SIGHUP reads the addresses of discovery and platform anew, SIGTERM ends it once all
+is answered. LB_NAME, LB_LISTEN and LB_DISCOVERY come before what the configuration says.`,
+		RunE: func(*cobra.Command, []string) error {
+			c, _, err := f.load(env)
+			if err != nil {
+				return err
+			}
+			log, err := logging.New(f.level)
+			if err != nil {
+				return err
+			}
+			if err := serve(c, log); err != nil {
+				return failure{err}
+			}
+			return nil
+		}}
+	f.flags(c)
+	return c
+}
+
+func checkCommand(env func(string) string) *cobra.Command {
+	var f files
+	c := &cobra.Command{Use: "check", Short: "Read the configuration and tell what is wrong with it, without serving",
+		Args: noMore, RunE: func(cmd *cobra.Command, _ []string) error {
+			c, _, err := f.load(env)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "configuration is good: %s listens on %s, %d classes, %d peers, room for %d requests, "+
+				"%d connections from clients, %d to hosts\n", c.Name, c.Listen, len(c.Settings.Classes), len(c.Peers),
+				c.Limits.MaxHeld, c.Limits.ClientConns, c.Limits.ServerConns)
+			return nil
+		}}
+	f.flags(c)
+	return c
+}
+
+// load reads the configuration and the settings, whole.
+func (f files) load(env func(string) string) (config.Config, features.Features, error) {
+	c, err := config.Load(f.config, env)
 	if err != nil {
-		fmt.Fprintf(errOut, "merlinarch: %v\n", err)
-		return exitBadCall
+		return c, features.Features{}, err
 	}
-	if args[0] == "check" {
-		fmt.Fprintf(out, "configuration is good: %s listens on %s, %d classes, %d peers, room for %d requests, "+
-			"%d connections from clients, %d to hosts\n", c.Name, c.Listen, len(c.Settings.Classes), len(c.Peers),
-			c.Limits.MaxHeld, c.Limits.ClientConns, c.Limits.ServerConns)
-		return exitOK
-	}
-	if err := serve(c, log); err != nil {
-		fmt.Fprintf(errOut, "merlinarch: %v\n", err)
-		return exitFailed
+	s, err := features.Load(f.settings)
+	return c, s, err
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: noMore, Run: func(c *cobra.Command, _ []string) {
+		fmt.Fprintln(c.OutOrStdout(), version())
+	}}
+}
+
+// noMore refuses arguments.
+func noMore(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("unexpected argument %q", args[0])
 	}
-	return exitOK
+	return nil
 }
 
 // version tells what this program was built from.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/driver"
 	"merlinarch/internal/exchange"
 	"merlinarch/internal/metrics"
 	"merlinarch/logic"
@@ -88,17 +89,14 @@
 	return at
 }
 
-// call is a request that the module knows of.
-type call struct {
-	ex       *exchange.Exchange
-	attempts int
-	sentAt   time.Time
-	server   logic.ServerID
-	out      bool // an attempt is out
-	gone     bool // its client has left or been answered by the node
-	cancel   func()
+// request is what the gateway knows a call by.
+type request struct {
+	ex     *exchange.Exchange
+	cancel func() // gives up the attempt that is out
 }
 
+type call = driver.Call[*request]
+
 // event is one that waits for the loop.
 type event struct {
 	what any
@@ -127,7 +125,6 @@
 
 // Gateway is the loop round the module.
 type Gateway struct {
-	router *logic.Router
 	limits config.Limits
 	parts  Parts
 	clock  Clock
@@ -137,17 +134,17 @@
 	events chan event
 	done   chan struct{}
 	timers timers
-	calls  map[logic.RequestID]*call
-	ids    map[*exchange.Exchange]logic.RequestID
-	serial uint64
+	driver *driver.Driver[*request]
+	calls  map[*exchange.Exchange]*call
 	last   logic.ReleaseStatus
 }
 
 // New makes a gateway round a router; Run starts it.
 func New(router *logic.Router, limits config.Limits, clock Clock, count *metrics.Registry, log *zap.Logger) *Gateway {
-	return &Gateway{router: router, limits: limits, clock: clock, count: count, log: log,
-		events: make(chan event, limits.MaxEvents), done: make(chan struct{}),
-		calls: map[logic.RequestID]*call{}, ids: map[*exchange.Exchange]logic.RequestID{}}
+	g := &Gateway{limits: limits, clock: clock, count: count, log: log,
+		events: make(chan event, limits.MaxEvents), done: make(chan struct{}), calls: map[*exchange.Exchange]*call{}}
+	g.driver = driver.New(router, effects{g})
+	return g
 }
 
 // ErrStopped tells that the loop has ended.
@@ -243,12 +240,7 @@
 }
 
 // feed gives the module one event and carries out what it asks.
-func (g *Gateway) feed(e logic.Event) {
-	// Handle's slice is valid until its next call; act never calls it.
-	for _, a := range g.router.Handle(g.clock.Now(), e) {
-		g.act(a)
-	}
-}
+func (g *Gateway) feed(e logic.Event) { g.driver.Feed(g.clock.Now(), e) }
 
 // take translates one event of the node into the module's.
 func (g *Gateway) take(e any) {
@@ -272,56 +264,53 @@
 	}
 }
 
-// arrive gives a request its serial. Danger: a client's id may come twice, even while the first is out.
+// arrive hands a request to the module.
 func (g *Gateway) arrive(ex *exchange.Exchange) {
-	g.serial++
-	id := requestID(g.serial)
-	g.calls[id], g.ids[ex] = &call{ex: ex}, id
 	f := ex.Fields
-	g.feed(logic.RequestArrived{ID: id, Class: f.Class, Tenant: f.Tenant, Key: f.Key, HasKey: f.HasKey,
-		Left: max(0, time.Until(ex.Deadline)), Hint: f.Hint, Retry: f.Retry})
+	c := g.driver.Arrive(g.clock.Now(), &request{ex: ex}, logic.RequestArrived{Class: f.Class, Tenant: f.Tenant,
+		Key: f.Key, HasKey: f.HasKey, Left: max(0, time.Until(ex.Deadline)), Hint: f.Hint, Retry: f.Retry})
+	if !c.Gone() {
+		g.calls[ex] = c
+	}
 }
 
 // leave tells the module that a request has ended without its doing. An attempt that is out may still bring
 // an answer for a client that has only stopped sending; where none is, such a client is told at once.
 func (g *Gateway) leave(ex *exchange.Exchange) {
-	id, ok := g.ids[ex]
-	if !ok {
+	c := g.calls[ex]
+	if c == nil {
 		return
 	}
-	c := g.calls[id]
-	c.gone = true
-	g.feed(logic.ClientGone{ID: id})
-	if !c.out {
+	if g.driver.Leave(g.clock.Now(), c) {
 		ex.Finish(exchange.Answer{Status: exchange.Failed})
-		g.drop(id, c)
+		delete(g.calls, ex)
 	}
 }
 
 // outcome gives the module the end of an attempt. An answer is the client's at once.
 func (g *Gateway) outcome(e attempted) {
-	c := g.calls[e.id]
-	if c == nil || !c.out || e.attempt != c.attempts-1 {
+	c := g.driver.Returned(e.id, e.attempt)
+	if c == nil {
 		exchange.Answer{Free: e.result.Free}.Release()
 		g.count.Inc("loop.stray_outcomes")
 		return
 	}
-	c.out, c.cancel = false, nil
+	ex := c.Of.ex
+	c.Of.cancel = nil
 	g.count.Inc("attempts." + outcomeName(e.result.Outcome))
-	final := e.result.Outcome == logic.OK || c.gone || c.ex.Ended()
+	over := e.result.Outcome == logic.OK || c.Gone() || ex.Ended()
 	switch {
 	case e.result.Outcome == logic.OK:
-		if a := (exchange.Answer{Status: exchange.Served, Body: e.result.Body, Free: e.result.Free}); !c.ex.Finish(a) {
+		if a := (exchange.Answer{Status: exchange.Served, Body: e.result.Body, Free: e.result.Free}); !ex.Finish(a) {
 			a.Release()
 		}
-	case final:
-		c.ex.Finish(exchange.Answer{Status: exchange.Failed})
+	case over:
+		ex.Finish(exchange.Answer{Status: exchange.Failed})
 	}
-	g.feed(logic.AttemptDone{ID: e.id, Outcome: e.result.Outcome, Took: e.result.Ended.Sub(c.sentAt),
-		Server: c.server, Attempt: e.attempt, Final: final, Load: e.result.Load})
-	if final {
-		g.drop(e.id, c)
+	if over {
+		delete(g.calls, ex)
 	}
+	g.driver.Settled(g.clock.Now(), c, e.result.Outcome, g.clock.At(e.result.Ended), e.result.Load, over)
 }
 
 // release passes on the platform's news. Sends to a build whose share has fallen must not leave late.
@@ -335,27 +324,39 @@
 	g.feed(e)
 }
 
-// drop forgets a request that has its answer and no attempt out.
-func (g *Gateway) drop(id logic.RequestID, c *call) {
-	delete(g.calls, id)
-	delete(g.ids, c.ex)
+// effects carries out what the module asks.
+type effects struct{ *Gateway }
+
+// Start hands an attempt to the server side.
+func (g effects) Start(c *call, timeout time.Duration) {
+	now := time.Now()
+	deadline := c.Of.ex.Deadline
+	if timeout > 0 && now.Add(timeout).Before(deadline) {
+		deadline = now.Add(timeout)
+	}
+	id, n := c.ID, c.Attempt()
+	g.count.Inc("attempts.sent")
+	c.Of.cancel = g.parts.Servers.Start(Attempt{Exchange: c.Of.ex, Server: c.Server, Decided: now, Deadline: deadline,
+		Report: func(r Result) { g.notify(attempted{id, n, r}) }})
 }
 
-// act carries out one action of the module.
-func (g *Gateway) act(a logic.Action) {
+func (g effects) GiveUp(c *call) { c.Of.cancel() }
+
+func (g effects) Finish(c *call, refused bool, retryAfter time.Duration) {
+	a := exchange.Answer{Status: exchange.Failed}
+	if refused {
+		a = exchange.Answer{Status: exchange.Refused, RetryAfter: retryAfter}
+	}
+	c.Of.ex.Finish(a)
+	if !c.Out() {
+		delete(g.calls, c.Of.ex)
+	}
+}
+
+func (g effects) Do(a logic.Action) {
 	switch a := a.(type) {
-	case logic.Send:
-		g.send(a)
-	case logic.Cancel:
-		if c := g.calls[a.ID]; c != nil && c.out && a.Attempt == c.attempts-1 {
-			c.cancel()
-		}
 	case logic.Close:
 		g.parts.Servers.CloseIdle(a.Server)
-	case logic.Refuse:
-		g.finish(a.ID, exchange.Answer{Status: exchange.Refused, RetryAfter: a.RetryAfter})
-	case logic.Fail:
-		g.finish(a.ID, exchange.Answer{Status: exchange.Failed})
 	case logic.SetTimer:
 		g.timers.set(g.clock.Now()+a.After, a.Token)
 	case logic.Probe:
@@ -373,33 +374,4 @@
 	}
 }
 
-// send starts the module's next attempt.
-func (g *Gateway) send(a logic.Send) {
-	c := g.calls[a.ID]
-	if c == nil || c.out {
-		g.count.Inc("loop.stray_sends")
-		return
-	}
-	now := time.Now()
-	c.attempts, c.sentAt, c.server, c.out = c.attempts+1, now, a.Server, true
-	deadline := c.ex.Deadline
-	if a.Timeout > 0 && now.Add(a.Timeout).Before(deadline) {
-		deadline = now.Add(a.Timeout)
-	}
-	n := c.attempts - 1
-	g.count.Inc("attempts.sent")
-	c.cancel = g.parts.Servers.Start(Attempt{Exchange: c.ex, Server: a.Server, Decided: now, Deadline: deadline,
-		Report: func(r Result) { g.notify(attempted{a.ID, n, r}) }})
-}
-
-// finish gives the module's final answer.
-func (g *Gateway) finish(id logic.RequestID, answer exchange.Answer) {
-	c := g.calls[id]
-	if c == nil {
-		return
-	}
-	c.ex.Finish(answer)
-	if c.gone = true; !c.out {
-		g.drop(id, c)
-	}
-}
+func (g effects) Stray(logic.Action) { g.count.Inc("loop.stray_actions") }
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"math"
-	"strconv"
 	"time"
 
 	"merlinarch/logic"
@@ -57,9 +56,6 @@
 	return t.list[0].at
 }
 
-// requestID names a request by this process's own serial.
-func requestID(serial uint64) logic.RequestID { return logic.RequestID(strconv.FormatUint(serial, 36)) }
-
 var outcomeNames = map[logic.Outcome]string{logic.OK: "ok", logic.ServerError: "server_error",
 	logic.Rejected: "rejected", logic.TimedOut: "timed_out", logic.ConnectFailed: "connect_failed",
 	logic.Reset: "reset", logic.Cancelled: "cancelled", logic.NotSent: "not_sent"}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Formatting, vet, build and tests with the race detector (the limits on the policy file are among the tests; fuzz
-# targets run on their seeds).
+# Formatting, vet, what packages of decisions may import, build and tests with the race detector (the limits on the
+# policy file are among the tests; fuzz targets run on their seeds).
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal logic)
@@ -9,6 +9,7 @@
     exit 1
 fi
 go vet ./...
+./deploy/check-decisions.sh
 mkdir -p bin
 go build -o bin/ ./cmd/...
 go test -race -count=1 ./...
