--- /dev/null
+++ b/cmd/merlinarch-rehearse/main.go
@@ -0,0 +1,330 @@
+// Command merlinarch-rehearse plays incidents: in virtual time, and against routers of this build on loopback. It is
+// a program of its own, since its libraries would double what a router holds at rest; `merlinarch rehearse` starts it.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"merlinarch/internal/rehearsal"
+	"merlinarch/internal/rehearsal/chart"
+	"merlinarch/internal/rehearsal/live"
+	"merlinarch/internal/rehearsal/script"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1 // it could not be played or written, or what was compared differs
+	exitBadCall = 2 // the command line or a script is wrong; nothing was played
+)
+
+// failure is an error that is not the caller's.
+type failure struct{ error }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, errOut io.Writer) int {
+	root := &cobra.Command{Use: "merlinarch rehearse", Short: "Practise an incident on one laptop", SilenceUsage: true,
+		SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		Long: `Play a script of traffic, releases and troubles, and tell what came of it. docs/rehearsal.md has the model.`}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.SetArgs(args)
+	root.AddCommand(checkCommand(), runCommand(), liveCommand(), sweepCommand(), compareCommand())
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(errOut, "merlinarch rehearse: %v\n", err)
+	if errors.As(err, new(failure)) {
+		return exitFailed
+	}
+	return exitBadCall
+}
+
+// options change a script from the command line, and tell where results go.
+type options struct {
+	seed           int64
+	routers, hosts int
+	policy         string
+	json, plots    string
+}
+
+func (o *options) flags(c *cobra.Command) {
+	c.Flags().Int64Var(&o.seed, "seed", -1, "the seed; the script's if not given")
+	c.Flags().IntVar(&o.routers, "routers", 0, "how many routers; the script's if not given")
+	c.Flags().IntVar(&o.hosts, "hosts", 0, "how many hosts; the script's if not given")
+	c.Flags().StringVar(&o.policy, "policy", "", "what decides: "+strings.Join(script.Policies, ", "))
+}
+
+func (o *options) outputs(c *cobra.Command) {
+	c.Flags().StringVar(&o.json, "json", "", "write the report to `FILE`")
+	c.Flags().StringVar(&o.plots, "plot", "", "write plots into `DIR`")
+}
+
+// load reads a script with what the command line changes.
+func (o options) load(path string, sets map[string]any) (script.Script, error) {
+	all := map[string]any{}
+	for name, v := range sets {
+		all[name] = v
+	}
+	if o.seed >= 0 {
+		all["seed"] = float64(o.seed)
+	}
+	if o.routers > 0 {
+		all["routers.count"] = float64(o.routers)
+	}
+	if o.hosts > 0 {
+		all["hosts.count"] = float64(o.hosts)
+	}
+	if o.policy != "" {
+		all["routers.policy"] = o.policy
+	}
+	return script.Load(path, all)
+}
+
+// finish writes what a rehearsal came to.
+func (o options) finish(c *cobra.Command, r rehearsal.Report) error {
+	for _, line := range r.Lines() {
+		fmt.Fprintln(c.OutOrStdout(), line)
+	}
+	if o.plots != "" {
+		if err := os.MkdirAll(o.plots, 0o755); err != nil {
+			return failure{err}
+		}
+		path, err := chart.Timeline(r, o.plots)
+		if err != nil {
+			return failure{err}
+		}
+		fmt.Fprintln(c.OutOrStdout(), "plot:", path)
+	}
+	if o.json != "" {
+		if err := rehearsal.WriteFile(o.json, r); err != nil {
+			return failure{err}
+		}
+	}
+	return nil
+}
+
+// bar shows progress on a terminal, and nothing in a pipe.
+func bar(most int, what string) *progressbar.ProgressBar {
+	if !term.IsTerminal(int(os.Stderr.Fd())) {
+		return progressbar.DefaultSilent(int64(most))
+	}
+	return progressbar.NewOptions(most, progressbar.OptionSetDescription(what), progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionClearOnFinish(), progressbar.OptionShowElapsedTimeOnFinish())
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check SCRIPT", Short: "Tell what is wrong with a script", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := script.Load(args[0], nil)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "script is good: %s, %v, %d routers, %d hosts, %g requests a second, %d releases, %d troubles\n",
+				s.Name, s.Length, s.Routers.Count, s.Hosts.Count, s.Clients.Rate, len(s.Releases), len(s.Troubles))
+			return nil
+		}}
+}
+
+func runCommand() *cobra.Command {
+	var o options
+	c := &cobra.Command{Use: "run SCRIPT", Short: "Play a script in virtual time", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := o.load(args[0], nil)
+			if err != nil {
+				return err
+			}
+			b := bar(1000, s.Name)
+			r, err := rehearsal.Run(s, func(done float64) { _ = b.Set(int(1000 * done)) })
+			if err != nil {
+				return failure{err}
+			}
+			_ = b.Finish()
+			return o.finish(c, r)
+		}}
+	o.flags(c)
+	o.outputs(c)
+	return c
+}
+
+func liveCommand() *cobra.Command {
+	var o options
+	var dir string
+	c := &cobra.Command{Use: "live SCRIPT", Short: "Play a script against routers of this build on loopback", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := o.load(args[0], nil)
+			if err != nil {
+				return err
+			}
+			if err := live.Check(s); err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			own, err := os.Executable()
+			if err != nil {
+				return failure{err}
+			}
+			if dir == "" {
+				if dir, err = os.MkdirTemp("", "rehearsal-"); err != nil {
+					return failure{err}
+				}
+				defer os.RemoveAll(dir)
+			} else if err := os.MkdirAll(dir, 0o755); err != nil {
+				return failure{err}
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			b := bar(1000, s.Name)
+			r, err := live.Run(ctx, s, live.Options{Binary: filepath.Join(filepath.Dir(own), "merlinarch"), Dir: dir,
+				Progress: func(done float64) { _ = b.Set(int(1000 * done)) }})
+			if err != nil {
+				return failure{err}
+			}
+			_ = b.Finish()
+			return o.finish(c, r)
+		}}
+	o.flags(c)
+	o.outputs(c)
+	c.Flags().StringVar(&dir, "logs", "", "keep the routers' logs and configurations in `DIR`")
+	return c
+}
+
+func sweepCommand() *cobra.Command {
+	var o options
+	var set, seeds string
+	c := &cobra.Command{Use: "sweep SCRIPT --set path=a,b,c --seeds 1-8", Args: cobra.ExactArgs(1),
+		Short: "Play a script with several values of one field, over several seeds",
+		RunE: func(c *cobra.Command, args []string) error {
+			path, text, ok := strings.Cut(set, "=")
+			if !ok || path == "" || text == "" {
+				return errors.New("--set: expected path=value,value")
+			}
+			from, err := parseSeeds(seeds)
+			if err != nil {
+				return err
+			}
+			values := strings.Split(text, ",")
+			b := bar(len(values)*len(from), set)
+			s, err := rehearsal.RunSweep(func(sets map[string]any) (script.Script, error) { return o.load(args[0], sets) },
+				path, values, from, func() { _ = b.Add(1) })
+			if err != nil {
+				return err
+			}
+			_ = b.Finish()
+			return o.finishSweep(c, s)
+		}}
+	c.Flags().StringVar(&set, "set", "", "the field and its values, such as clients.rate=200,300")
+	c.Flags().StringVar(&seeds, "seeds", "1-8", "the first and the last seed")
+	o.flags(c)
+	o.outputs(c)
+	return c
+}
+
+func parseSeeds(text string) ([]uint64, error) {
+	first, last, more := strings.Cut(text, "-")
+	if !more {
+		last = first
+	}
+	a, err1 := strconv.ParseUint(first, 10, 32)
+	b, err2 := strconv.ParseUint(last, 10, 32)
+	if err1 != nil || err2 != nil || b < a || b-a >= 10000 {
+		return nil, fmt.Errorf("--seeds: expected such as 1-8, at most 10000, got %q", text)
+	}
+	var out []uint64
+	for s := a; s <= b; s++ {
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (o options) finishSweep(c *cobra.Command, s rehearsal.Sweep) error {
+	w := c.OutOrStdout()
+	fmt.Fprintf(w, "%s over %s (emulated)\n", s.Script, s.Path)
+	for _, p := range s.Points {
+		fmt.Fprintf(w, "%12s  service mean %.3f, least %.3f, p10 %.3f, median %.3f; worst window median %.3f; rules broken %d",
+			p.Value, p.Service.Mean, p.Service.Least, p.Service.P10, p.Service.Median, p.Worst.Median, p.Rules.Broken())
+		if p.BackS != nil {
+			fmt.Fprintf(w, "; sent back in %d of %d, after p10 %.1f, median %.1f, p90 %.1f s", p.Back, len(p.Plays), p.BackS.P10,
+				p.BackS.Median, p.BackS.P90)
+		}
+		fmt.Fprintln(w)
+	}
+	if o.plots != "" {
+		if err := os.MkdirAll(o.plots, 0o755); err != nil {
+			return failure{err}
+		}
+		path, err := chart.Sweep(s, o.plots)
+		if err != nil {
+			return failure{err}
+		}
+		fmt.Fprintln(w, "plot:", path)
+	}
+	if o.json != "" {
+		if err := rehearsal.WriteFile(o.json, s); err != nil {
+			return failure{err}
+		}
+	}
+	return nil
+}
+
+func compareCommand() *cobra.Command {
+	var within float64
+	c := &cobra.Command{Use: "compare A.json B.json", Short: "Tell how two reports differ", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var r [2]rehearsal.Report
+			for i, path := range args {
+				data, err := os.ReadFile(path)
+				if err != nil {
+					return err
+				}
+				if err := json.Unmarshal(data, &r[i]); err != nil {
+					return fmt.Errorf("%s: not a report: %w", path, err)
+				}
+				if r[i].Outcomes == "" {
+					return fmt.Errorf("%s: not a report: no outcomes_sha256", path)
+				}
+			}
+			w := c.OutOrStdout()
+			same := "the same outcomes, each at the same time"
+			if r[0].Outcomes != r[1].Outcomes {
+				same = "other outcomes"
+			}
+			fmt.Fprintf(w, "%s and %s: %s\n", args[0], args[1], same)
+			row := func(name string, a, b float64) { fmt.Fprintf(w, "%-24s %10.4f %10.4f %+10.4f\n", name, a, b, b-a) }
+			row("service", r[0].Service, r[1].Service)
+			row("whole", r[0].Whole, r[1].Whole)
+			row("worst window", r[0].Worst, r[1].Worst)
+			row("requests", float64(r[0].Requests), float64(r[1].Requests))
+			for _, end := range []string{"served", "refused", "failed", "abandoned", "open"} {
+				row(end, float64(r[0].Ends[end]), float64(r[1].Ends[end]))
+			}
+			row("rules broken", float64(r[0].Rules.Broken()), float64(r[1].Rules.Broken()))
+			row("waste", r[0].Waste, r[1].Waste)
+			for i := range min(len(r[0].Classes), len(r[1].Classes)) {
+				a, b := r[0].Classes[i], r[1].Classes[i]
+				row(a.Name+" p50 ms", a.P50ms, b.P50ms)
+				row(a.Name+" p99 ms", a.P99ms, b.P99ms)
+			}
+			if d := r[1].Service - r[0].Service; within >= 0 && (d > within || -d > within) {
+				return failure{fmt.Errorf("service differs by %.4f, more than %g", d, within)}
+			}
+			return nil
+		}}
+	c.Flags().Float64Var(&within, "within", -1, "exit with 1 if service differs by more")
+	return c
+}
--- /dev/null
+++ b/cmd/merlinarch/bench_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinarch/internal/config"
+)
+
+// BenchmarkRequest is a request on a kept connection: through the router, and through a bare net/http relay with the
+// same host, in one run. Compare the two, not either with another day's.
+func BenchmarkRequest(b *testing.B) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "notice") }))
+	defer host.Close()
+	addr := strings.TrimPrefix(host.URL, "http://")
+
+	relayTo := &http.Transport{MaxIdleConnsPerHost: 256}
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, host.URL+r.RequestURI, nil)
+		if err != nil {
+			panic(err)
+		}
+		req.Header.Set("X-Txn", r.Header.Get("X-Txn"))
+		resp, err := relayTo.RoundTrip(req)
+		if err != nil {
+			http.Error(w, "host", http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			http.Error(w, "host", http.StatusBadGateway)
+			return
+		}
+		w.Write(body)
+	}))
+	defer relay.Close()
+	defer relayTo.CloseIdleConnections()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listen := l.Addr().String()
+	l.Close()
+	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
+		"limits":{"cores":4.0,"memory_mb":192,"sockets":1024},
+		"pipeline":{"address":"127.0.0.1:1","news":{"release":42,"tranche":0,"mode":"released","exposure":1,"old_ms":0}},
+		"known":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"a","block":0,"health":"up","share":1.0,
+		"born_ms":0,"build":42}]},"settings":{"me":0,"peers_total":1,"zone":"a","classes":[{"name":"read","repeat":"safe",
+		"aim_ms":5000.0,"deadline_ms":5000.0,"worth":1.0}],"caps":{"max_attempts":3,"conn_idle_ms":10000.0,
+		"dial_timeout_ms":1000.0},"rules":{"drain_grace_ms":1000.0}}}`, listen, addr), none)
+	if err != nil {
+		b.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- serve(c, zap.NewNop()) }()
+	defer func() {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+			b.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
+	}()
+	for ready := false; !ready; time.Sleep(10 * time.Millisecond) {
+		status, _, err := get(listen, "/-/ready", "r")
+		ready = err == nil && status == 200
+	}
+	for _, to := range []struct{ name, url string }{{"relay", relay.URL}, {"router", "http://" + listen}} {
+		for _, clients := range []int{1, 16} {
+			b.Run(fmt.Sprintf("%s/clients=%d", to.name, clients), func(b *testing.B) {
+				transport := &http.Transport{MaxIdleConnsPerHost: clients}
+				defer transport.CloseIdleConnections()
+				var work sync.WaitGroup
+				var next sync.Mutex
+				n := 0
+				b.ResetTimer()
+				for range clients {
+					work.Go(func() {
+						for {
+							next.Lock()
+							i := n
+							n++
+							next.Unlock()
+							if i >= b.N {
+								return
+							}
+							req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, to.url+"/api", nil)
+							if err != nil {
+								b.Error(err)
+								return
+							}
+							req.Header.Set("X-Txn", fmt.Sprintf("%016x", i))
+							req.Header.Set("X-Lane", "read")
+							req.Header.Set("X-Remaining-Ms", "4000")
+							resp, err := transport.RoundTrip(req)
+							if err != nil {
+								b.Error(err)
+								return
+							}
+							io.Copy(io.Discard, resp.Body)
+							resp.Body.Close()
+							if resp.StatusCode != 200 {
+								b.Errorf("status %d", resp.StatusCode)
+								return
+							}
+						}
+					})
+				}
+				work.Wait()
+			})
+		}
+	}
+}
--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"strings"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -41,7 +43,7 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetArgs(twoDashes(args))
-	root.AddCommand(serveCommand(env), checkCommand(env), versionCommand())
+	root.AddCommand(serveCommand(env), checkCommand(env), rehearseCommand(), versionCommand())
 	err := root.Execute()
 	if err == nil {
 		return exitOK
@@ -126,6 +128,26 @@
 	return c, s, err
 }
 
+// rehearseCommand goes over to the program beside this one that has the tools' libraries: they would double what a
+// router holds at rest.
+func rehearseCommand() *cobra.Command {
+	return &cobra.Command{Use: "rehearse", Short: "Practise an incident: check, run, live, sweep, compare",
+		DisableFlagParsing: true, RunE: func(_ *cobra.Command, args []string) error {
+			own, err := os.Executable()
+			if err != nil {
+				return failure{err}
+			}
+			path := filepath.Join(filepath.Dir(own), rehearseProgram)
+			if err := syscall.Exec(path, append([]string{path}, args...), os.Environ()); err != nil {
+				return failure{fmt.Errorf("%s: %w (it is built beside merlinarch)", path, err)}
+			}
+			return nil
+		}}
+}
+
+// rehearseProgram is the name of that program.
+const rehearseProgram = "merlinarch-rehearse"
+
 func versionCommand() *cobra.Command {
 	return &cobra.Command{Use: "version", Short: "Print the version", Args: noMore, Run: func(c *cobra.Command, _ []string) {
 		fmt.Fprintln(c.OutOrStdout(), version())
--- /dev/null
+++ b/deploy/rehearsals/rolling-release.jsonnet
@@ -0,0 +1,13 @@
+// Builds one after another, every second one bad in a way of its own, while routers are restarted in turn.
+{
+  name: 'rolling-release',
+  length: '240s',
+  releases: [
+    { at: '5s' },
+    { at: '50s', fault: 'errors', size: 0.2 },
+    { at: '90s', speed: 0.95 },
+    { at: '140s', fault: 'slow', size: 2.5 },
+    { at: '190s', fault: 'load', size: 0.5, busy: 0.4 },
+  ],
+  troubles: [{ kind: 'router_kill', at: '20s', 'for': '3s', share: 0.34, times: 5, every: '45s' }],
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,7 +138,7 @@
 	if err := c.checkAddresses(); err != nil {
 		return Config{}, err
 	}
-	c.Limits, err = newLimits(Told{Cores: v.GetFloat64("limits", "cores"),
+	c.Limits, err = NewLimits(Told{Cores: v.GetFloat64("limits", "cores"),
 		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets"),
 		Dial: time.Duration(own.GetFloat64("caps", "dial_timeout_ms")*1000) * time.Microsecond}, c.Settings)
 	if c.Settings.MaxOpen <= 0 || c.Settings.MaxOpen > c.Limits.MaxOpen { // the module decides what is let go
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -75,8 +75,8 @@
 	leastSockets = 40
 )
 
-// newLimits derives the limits.
-func newLimits(told Told, s logic.Settings) (Limits, error) {
+// NewLimits derives the limits.
+func NewLimits(told Told, s logic.Settings) (Limits, error) {
 	if told.Cores <= 0 || told.MemoryMB < leastMemory || told.Sockets < leastSockets {
 		return Limits{}, fmt.Errorf("limits: cores %g, memory_mb %d, sockets %d: needs more than 0, %d and %d",
 			told.Cores, told.MemoryMB, told.Sockets, leastMemory, leastSockets)
--- /dev/null
+++ b/internal/rehearsal/live/live.go
@@ -0,0 +1,541 @@
+// Package live plays a rehearsal's world against routers of this build: processes on loopback, with stand-ins of
+// their hosts, discovery, platform, network and clients. The world is the same as in virtual time, paced by the
+// clock; one goroutine owns it, and whatever comes from sockets reaches it through one channel.
+package live
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"merlinarch/internal/rehearsal"
+	"merlinarch/internal/rehearsal/script"
+	"merlinarch/internal/settings"
+	"merlinarch/internal/standin/clients"
+	"merlinarch/internal/standin/discovery"
+	"merlinarch/internal/standin/hosts"
+	"merlinarch/internal/standin/peers"
+	"merlinarch/internal/standin/platform"
+	"merlinarch/logic"
+)
+
+// Options is what a live rehearsal needs besides its script.
+type Options struct {
+	Binary   string // the router's program
+	Dir      string // for configurations and logs; it must exist
+	Progress func(done float64)
+}
+
+const (
+	lead     = 4 * time.Second // until requests come: routers get ready meanwhile
+	readyFor = 3 * time.Second
+	inbox    = 8192
+)
+
+// virtualOnly are troubles that sockets on loopback can't be given without privileges.
+var virtualOnly = map[string]bool{"site_cut": true, "link_slow": true, "link_loss": true}
+
+// Check tells what of a script can't be played live.
+func Check(s script.Script) error {
+	for i, t := range s.Troubles {
+		if virtualOnly[t.Kind] {
+			return fmt.Errorf("troubles[%d].kind: %s can be played in virtual time only", i, t.Kind)
+		}
+	}
+	if s.Routers.Policy != "module" {
+		return fmt.Errorf("routers.policy: %s can be played in virtual time only", s.Routers.Policy)
+	}
+	if n := s.Routers.Count * s.Hosts.Count; n > 2000 {
+		return fmt.Errorf("routers.count times hosts.count: at most 2000 live, got %d", n)
+	}
+	return nil
+}
+
+// stage is one live rehearsal under way. It implements rehearsal.Front; its fields belong to the loop.
+type stage struct {
+	w       *rehearsal.World
+	s       script.Script
+	o       Options
+	ctx     context.Context
+	origin  time.Time
+	inbox   chan func()
+	routers []*router
+	hosts   map[int]*fleetHost // by the world's number
+	tries   map[string]*rehearsal.Try
+	callers *clients.Pool
+	relay   *peers.Relay
+	calls   map[*rehearsal.Try]context.CancelFunc
+	work    sync.WaitGroup
+	err     error
+}
+
+// router is one process and what stands round it; the stand-ins outlive the process.
+type router struct {
+	number     int
+	listen     string
+	peerListen netip.AddrPort
+	list       *discovery.Server
+	desk       *platform.Server
+	cmd        *exec.Cmd
+	exited     chan struct{}
+	life       int
+	ready      bool
+	config     string
+	log        *os.File
+}
+
+// fleetHost is one life of a host: a listener for each router, so that it is known who sends.
+type fleetHost struct {
+	h       *rehearsal.Host
+	servers []*hosts.Server
+}
+
+// Run plays a script live. When ctx ends it stops early; no process outlives it.
+func Run(ctx context.Context, s script.Script, o Options) (rehearsal.Report, error) {
+	if err := Check(s); err != nil {
+		return rehearsal.Report{}, err
+	}
+	// Danger: the kernel ends a child when the thread that started it ends; this goroutine keeps its thread.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	st := &stage{w: rehearsal.New(s, true), s: s, o: o, ctx: ctx, inbox: make(chan func(), inbox),
+		hosts: map[int]*fleetHost{}, tries: map[string]*rehearsal.Try{}, callers: clients.New(),
+		calls: map[*rehearsal.Try]context.CancelFunc{}}
+	defer st.close(stop)
+	if err := st.open(); err != nil {
+		return rehearsal.Report{}, err
+	}
+	st.origin = time.Now()
+	st.w.Start(st, lead)
+	return st.loop()
+}
+
+// loop paces the world by the clock, and lets in what comes from sockets.
+func (st *stage) loop() (rehearsal.Report, error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	total := float64(lead + st.s.Length)
+	for n := 0; st.err == nil; n++ {
+		next, more := st.w.Next()
+		if !more {
+			return st.w.Report(), nil
+		}
+		now := time.Since(st.origin)
+		if next <= now {
+			st.w.Step()
+			continue
+		}
+		if st.o.Progress != nil && n%64 == 0 {
+			st.o.Progress(min(1, float64(now)/total))
+		}
+		timer.Reset(next - now)
+		select {
+		case do := <-st.inbox:
+			st.w.Advance(time.Since(st.origin))
+			do()
+		case <-timer.C:
+		case <-st.ctx.Done():
+			return rehearsal.Report{}, fmt.Errorf("rehearsal: %w", st.ctx.Err())
+		}
+	}
+	return rehearsal.Report{}, st.err
+}
+
+// post brings something from a socket into the loop.
+func (st *stage) post(do func()) {
+	select {
+	case st.inbox <- do:
+	case <-st.ctx.Done():
+	}
+}
+
+func (st *stage) fail(err error) {
+	if st.err == nil {
+		st.err = err
+	}
+}
+
+// open starts the stand-ins that last.
+func (st *stage) open() error {
+	var listens []netip.AddrPort
+	for i := range st.s.Routers.Count {
+		r := &router{number: i, exited: make(chan struct{})}
+		close(r.exited)
+		st.routers = append(st.routers, r)
+		tcp, err := freePort("tcp")
+		if err != nil {
+			return err
+		}
+		udp, err := freePort("udp")
+		if err != nil {
+			return err
+		}
+		r.listen, r.peerListen = tcp.String(), udp
+		listens = append(listens, udp)
+		if r.list, err = discovery.Listen("127.0.0.1:0"); err != nil {
+			return err
+		}
+		if r.desk, err = platform.Listen("127.0.0.1:0", platform.State{Phase: "released", Cap: 1, Build: 1},
+			func(v platform.Vote, reply func(string)) { st.post(func() { st.vote(r, v, reply) }) }); err != nil {
+			return err
+		}
+		if r.log, err = os.Create(filepath.Join(st.o.Dir, fmt.Sprintf("router-%d.log", i))); err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+	}
+	var err error
+	st.relay, err = peers.Listen(listens, func(from, to int, data []byte) {
+		st.post(func() { st.w.Carry(from, to, func() { st.relay.Send(from, to, data) }) })
+	})
+	return err
+}
+
+// close ends all that was started, processes by their own ids.
+func (st *stage) close(stop func()) {
+	for _, r := range st.routers {
+		r.end()
+	}
+	stop()
+	for _, f := range st.hosts {
+		f.close()
+	}
+	for _, r := range st.routers {
+		if r.list != nil {
+			r.list.Close()
+		}
+		if r.desk != nil {
+			r.desk.Close()
+		}
+		if r.log != nil {
+			r.log.Close()
+		}
+	}
+	if st.relay != nil {
+		st.relay.Close()
+	}
+	st.work.Wait()
+	st.callers.Close()
+}
+
+// freePort finds a port that nobody uses at the moment.
+func freePort(network string) (netip.AddrPort, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, fmt.Errorf("port: %w", err)
+		}
+		defer c.Close()
+		return c.LocalAddr().(*net.UDPAddr).AddrPort(), nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("port: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Boot starts a router's process; it takes requests once it says that it is ready.
+func (st *stage) Boot(i int, known []rehearsal.Entry, news rehearsal.Standing) {
+	r := st.routers[i]
+	r.life++
+	life := r.life
+	for _, e := range known {
+		r.list.Change(st.host(r, e))
+	}
+	if err := st.configure(r, news); err != nil {
+		st.fail(err)
+		return
+	}
+	r.cmd = exec.Command(st.o.Binary, "serve", "--config", r.config)
+	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := r.cmd.Start(); err != nil {
+		st.fail(fmt.Errorf("router %d: %w", i, err))
+		return
+	}
+	r.exited = make(chan struct{})
+	cmd, exited := r.cmd, r.exited
+	st.work.Go(func() {
+		err := cmd.Wait()
+		close(exited)
+		st.post(func() {
+			if r.life == life { // nobody killed it
+				st.fail(fmt.Errorf("router %d ended by itself (%v): its log is %s", i, err, r.log.Name()))
+			}
+		})
+	})
+	st.work.Go(func() {
+		ctx, stop := context.WithTimeout(st.ctx, readyFor)
+		defer stop()
+		for !st.callers.Ready(ctx, r.listen) {
+			select {
+			case <-ctx.Done():
+				st.post(func() {
+					if r.life == life {
+						st.fail(fmt.Errorf("router %d is not ready after %v: its log is %s", i, readyFor, r.log.Name()))
+					}
+				})
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		st.post(func() { r.ready = r.life == life })
+	})
+}
+
+// configure writes a router's configuration, as the platform would.
+func (st *stage) configure(r *router, news rehearsal.Standing) error {
+	addrs, all := st.relay.Peers()
+	list := r.list.List()
+	c := map[string]any{"name": "n" + strconv.Itoa(r.number), "listen": r.listen, "discovery": r.list.Addr(),
+		"seed":        strconv.FormatUint(st.s.Seed<<20|uint64(r.number)<<10|uint64(r.life), 16),
+		"limits":      map[string]any{"cores": 1.0, "memory_mb": st.s.Routers.MemoryMB, "sockets": st.s.Routers.Sockets},
+		"peer_listen": r.peerListen.String(), "peers": addrs, "peers_all": all,
+		"pipeline": map[string]any{"address": r.desk.Addr(), "news": map[string]any{"release": news.Build + 1,
+			"tranche": news.Stage, "mode": phases[news.Phase], "exposure": news.Cap,
+			"old_ms": (st.w.Now() - news.Since).Milliseconds()}},
+		"known": list, "settings": wireSettings(st.s, r.number)}
+	data, err := json.Marshal(c)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	r.config = filepath.Join(st.o.Dir, fmt.Sprintf("router-%d.json", r.number))
+	if err := os.WriteFile(r.config, data, 0o600); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return nil
+}
+
+// wireSettings are a router's settings in the protocol's form, with the time-out that belongs to the node.
+func wireSettings(s script.Script, router int) map[string]any {
+	out := settings.Encode(rehearsal.Settings(s, router))
+	out["caps"].(map[string]any)["dial_timeout_ms"] = float64(s.Network.DialTimeout.Microseconds()) / 1000
+	return out
+}
+
+var phases = map[logic.Phase]string{logic.OnTrial: "trial", logic.GoingBack: "rolling_back",
+	logic.Released: "released", logic.Withdrawn: "withdrawn"}
+
+var states = map[logic.ServerState]string{logic.Ready: "up", logic.Draining: "draining", logic.Gone: "removed"}
+
+var verdicts = map[string]logic.Verdict{"blank": logic.VoteNone, "go": logic.VoteOn, "stay": logic.VoteHold,
+	"stop": logic.VoteBack}
+
+// host is an entry as one router is told it.
+func (st *stage) host(r *router, e rehearsal.Entry) discovery.Host {
+	h := discovery.Host{Host: "s-" + strconv.Itoa(e.Host.ID), Site: e.Host.Site, Block: e.Host.Cell,
+		Health: states[e.State], Share: 1, Build: e.Build + 1}
+	if f := st.hosts[e.Host.ID]; f != nil {
+		h.Dial = f.servers[r.number].Addr()
+	}
+	if e.Started > 0 {
+		h.BornMS = st.origin.Add(e.Started).UnixMilli()
+	}
+	return h
+}
+
+// end kills the process and waits for its end.
+func (r *router) end() {
+	r.life++
+	r.ready = false
+	if r.cmd != nil && r.cmd.Process != nil {
+		r.cmd.Process.Kill()
+	}
+	<-r.exited
+}
+
+// Kill ends a router's process as a crash does.
+func (st *stage) Kill(i int) { st.routers[i].end() }
+
+// Freeze stops a router's process for a while.
+func (st *stage) Freeze(i int, length time.Duration) {
+	r := st.routers[i]
+	life := r.life
+	if err := r.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return // it has just ended
+	}
+	st.work.Go(func() {
+		select {
+		case <-time.After(length):
+		case <-st.ctx.Done():
+		}
+		st.post(func() {
+			if r.life == life {
+				r.cmd.Process.Signal(syscall.SIGCONT)
+			}
+		})
+	})
+}
+
+// Take asks a router as a client does.
+func (st *stage) Take(t *rehearsal.Try) {
+	r := st.routers[t.Router]
+	ctx, stop := context.WithCancel(st.ctx)
+	st.calls[t] = stop
+	st.tries[t.ID()] = t
+	ask := clients.Ask{ID: t.ID(), Class: t.Class(), Tenant: t.Tenant(st.w), Key: fmt.Sprintf("%016x", t.Wish.Key),
+		DedupKey: t.Dedup(), Post: t.Repeat() != "safe", Wait: t.Until - st.w.Now()}
+	ready := r.ready
+	st.work.Go(func() {
+		a, err := st.callers.Do(ctx, r.listen, ask)
+		st.post(func() {
+			stop()
+			delete(st.calls, t)
+			switch {
+			case err != nil && (errors.Is(err, clients.ErrRefused) || !ready):
+				st.w.Untaken(t)
+			case err != nil:
+				st.w.Dropped(t)
+			default:
+				st.w.Answered(t, answer(t, a))
+			}
+		})
+	})
+}
+
+// answer reads a router's answer as its client does.
+func answer(t *rehearsal.Try, a clients.Answer) rehearsal.Answer {
+	switch a.Status {
+	case 200:
+		return rehearsal.Answer{Status: rehearsal.Served, Strange: string(a.Body) != body(t.ID())}
+	case 429, 503:
+		return rehearsal.Answer{Status: rehearsal.Refused, RetryAfter: a.RetryAfter}
+	}
+	return rehearsal.Answer{Status: rehearsal.Failed}
+}
+
+func body(id string) string { return "notice for " + id }
+
+// Left closes the client's connection.
+func (st *stage) Left(t *rehearsal.Try) {
+	if stop := st.calls[t]; stop != nil {
+		stop()
+	}
+}
+
+// Listed tells a router's agent.
+func (st *stage) Listed(i int, changes []rehearsal.Entry) {
+	for _, e := range changes {
+		st.routers[i].list.Change(st.host(st.routers[i], e))
+	}
+}
+
+func (st *stage) state(s rehearsal.Standing) platform.State {
+	return platform.State{Build: s.Build + 1, Stage: s.Stage, Phase: phases[s.Phase], Cap: s.Cap,
+		Age: max(0, st.w.Now()-s.Since)}
+}
+
+// News tells a router through its platform.
+func (st *stage) News(i int, s rehearsal.Standing) { st.routers[i].desk.Tell(st.state(s)) }
+
+// Silence lets the platform stand still.
+func (st *stage) Silence(on bool) {
+	for _, r := range st.routers {
+		r.desk.Silence(on)
+	}
+}
+
+func (st *stage) vote(r *router, v platform.Vote, reply func(string)) {
+	verdict, ok := verdicts[v.Verdict]
+	if !ok {
+		reply(platform.Error("SYNTAX"))
+		return
+	}
+	life := r.life
+	st.w.Vote(r.number, v.Build-1, v.Stage, verdict, func(a rehearsal.VoteReply) {
+		switch a.How {
+		case logic.VoteCounts:
+			if r.life == life {
+				st.w.Heard(r.number, a.Standing)
+			}
+			reply(platform.OK(st.state(a.Standing)))
+		case logic.VoteThrottled:
+			reply(platform.Error("BUSY"))
+		default:
+			reply(platform.Error("STALE"))
+		}
+	})
+}
+
+// HostUp opens a host's listeners.
+func (st *stage) HostUp(h *rehearsal.Host) {
+	f := &fleetHost{h: h}
+	for i := range st.routers {
+		s, err := hosts.Listen("127.0.0.1:0", func(ctx context.Context, q hosts.Request) hosts.Reply {
+			return st.serve(ctx, i, h, q)
+		})
+		if err != nil {
+			st.fail(err)
+			return
+		}
+		f.servers = append(f.servers, s)
+	}
+	st.hosts[h.ID] = f
+}
+
+// HostDown ends a host. One that is silent keeps its connections and answers nothing.
+func (st *stage) HostDown(h *rehearsal.Host, silent bool) {
+	f := st.hosts[h.ID]
+	if f == nil || silent {
+		return
+	}
+	delete(st.hosts, h.ID)
+	st.work.Go(f.close) // it waits for the handlers, which wait for the loop
+}
+
+func (f *fleetHost) close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+var kinds = map[rehearsal.Reply]hosts.Kind{rehearsal.Good: hosts.Served, rehearsal.Wrong: hosts.Served,
+	rehearsal.Erred: hosts.Erred, rehearsal.TurnedAway: hosts.TurnedAway, rehearsal.Broken: hosts.Broken}
+
+// serve brings an attempt to its host in the world, and waits for its reply there.
+func (st *stage) serve(ctx context.Context, from int, h *rehearsal.Host, q hosts.Request) hosts.Reply {
+	out := make(chan hosts.Reply, 1)
+	var a *rehearsal.Attempt
+	st.post(func() {
+		t := st.tries[q.ID]
+		if t == nil || ctx.Err() != nil { // no client sent it, or the router gave it up meanwhile
+			out <- hosts.Reply{Kind: hosts.TurnedAway}
+			return
+		}
+		a = &rehearsal.Attempt{Try: t, Router: from, Host: h, SentAt: st.w.Now(),
+			Done: func(r rehearsal.Reply, l *logic.Load) {
+				reply := hosts.Reply{Kind: kinds[r], Body: []byte(body(q.ID))}
+				if l != nil {
+					reply.Load = fmt.Sprintf("inflight=%g,queue=%g,util=%g", l.InFlight, l.Queue, l.Utilization)
+				}
+				out <- reply
+			}}
+		st.w.Arrive(a, false)
+	})
+	select {
+	case r := <-out:
+		return r
+	case <-ctx.Done():
+		st.post(func() {
+			if a != nil {
+				st.w.Cancel(a)
+			}
+		})
+	case <-st.ctx.Done():
+	}
+	return hosts.Reply{Kind: hosts.Broken}
+}
--- /dev/null
+++ b/internal/rehearsal/rehearsal_test.go
@@ -0,0 +1,239 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"merlinarch/internal/rehearsal/script"
+)
+
+// TestMain keeps the random scripts few enough for the race detector; -rapid.checks asks for more.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "25"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var shipped = []string{"calm", "water-cut", "herd", "site-loss", "rolling-release", "slow-fleet"}
+
+func load(t testing.TB, name string, sets map[string]any) script.Script {
+	t.Helper()
+	s, err := script.Load("../../deploy/rehearsals/"+name+".jsonnet", sets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func run(t testing.TB, s script.Script) Report {
+	t.Helper()
+	r, err := Run(s, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func asJSON(t *testing.T, r Report) []byte {
+	t.Helper()
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// The same script and seed give the same report to the last byte, on however many processors; another seed does not.
+func TestSameTwice(t *testing.T) {
+	for _, name := range []string{"herd", "rolling-release"} {
+		s := load(t, name, map[string]any{"length": "60s", "releases": nil, "troubles": nil})
+		full := load(t, name, nil)
+		s.Releases, s.Troubles = full.Releases[:min(1, len(full.Releases))], full.Troubles[:1]
+		one := asJSON(t, run(t, s))
+		was := runtime.GOMAXPROCS(1)
+		two := asJSON(t, run(t, s))
+		runtime.GOMAXPROCS(was)
+		if !bytes.Equal(one, two) {
+			t.Errorf("%s: two plays differ", name)
+		}
+		s.Seed++
+		if bytes.Equal(one, asJSON(t, run(t, s))) {
+			t.Errorf("%s: another seed plays the same", name)
+		}
+	}
+}
+
+// The module keeps every rule on the shipped scripts; docs/rehearsal.md has more seeds.
+func TestModuleKeepsRules(t *testing.T) {
+	for _, name := range shipped {
+		s := load(t, name, nil)
+		if r := run(t, s); r.Rules.Broken() > 0 || conserved(r) != nil {
+			t.Errorf("%s: %+v %v %v", name, r.Rules, r.Broken, conserved(r))
+		}
+	}
+}
+
+// Baselines that choose by chance or by what they see in flight serve less where something goes wrong.
+func TestBaselinesStandBelow(t *testing.T) {
+	for _, name := range []string{"site-loss", "slow-fleet"} {
+		service := map[string]float64{}
+		for _, p := range script.Policies {
+			service[p] = run(t, load(t, name, map[string]any{"routers.policy": p})).Service
+		}
+		if service["module"] < service["random"]+0.05 || service["module"] < service["least"]+0.05 {
+			t.Errorf("%s: %v", name, service)
+		}
+	}
+}
+
+// Requests come at the told rate for the told time; what is planned happens at its time.
+func TestTimes(t *testing.T) {
+	s := load(t, "calm", nil)
+	r := run(t, s)
+	if want := s.Clients.Rate * s.Length.Seconds(); math.Abs(float64(r.Requests)-want) > 5*math.Sqrt(want) {
+		t.Errorf("%d requests, want about %v", r.Requests, want)
+	}
+	if r.Builds[0].OfferedS != 8 || r.Marks[0].AtS != 8 {
+		t.Errorf("offered at %v, marked at %v", r.Builds[0].OfferedS, r.Marks[0].AtS)
+	}
+}
+
+// conserved checks that each request asked has one end.
+func conserved(r Report) error {
+	sum, asked := 0, 0
+	for _, n := range r.Ends {
+		sum += n
+	}
+	for _, w := range r.Windows {
+		asked += w.Asked
+		if w.Served+w.Refused+w.Failed > w.Asked || w.Service < 0 || w.Service > 1+1e-9 {
+			return fmt.Errorf("window %+v", w)
+		}
+	}
+	classes, tenants := 0, 0
+	for _, c := range r.Classes {
+		classes += c.Asked
+	}
+	for _, x := range r.Tenants {
+		tenants += x.Asked
+	}
+	if sum != r.Requests || asked != r.Requests || classes != r.Requests || tenants != r.Requests || r.Ends["open"] < 0 {
+		return fmt.Errorf("%d requests, ends %v, %d in windows, %d by class, %d by tenant", r.Requests, r.Ends, asked, classes, tenants)
+	}
+	if math.IsNaN(r.Service) || r.Service < 0 || r.Service > 1+1e-9 || r.Waste < 0 || r.Waste > 1+1e-9 {
+		return fmt.Errorf("service %v, waste %v", r.Service, r.Waste)
+	}
+	return nil
+}
+
+// Whatever goes wrong together, each request is served, refused, failed, abandoned or still open, exactly once; no
+// request is lost, none doubled.
+func TestConservation(t *testing.T) {
+	kinds := []string{"pause", "slow", "crash", "silent", "drain", "stall", "shared", "launcher_silent", "launcher_late",
+		"discovery_silent", "router_kill", "router_stall", "burst", "hot_key", "site_cut", "site_loss", "link_slow", "link_loss"}
+	sizes := map[string]string{"slow": "0.3", "shared": "0.5", "launcher_late": "3", "burst": "3", "hot_key": "0.5",
+		"link_slow": "0.05", "link_loss": "0.2"}
+	rapid.Check(t, func(t *rapid.T) {
+		var troubles []string
+		for _, at := range []int{1, 2, 4, 6}[:rapid.IntRange(1, 4).Draw(t, "troubles")] {
+			kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+			text := fmt.Sprintf(`{kind: %q, at: "%ds", "for": "%dms", share: %v`, kind, at,
+				rapid.IntRange(1, 4000).Draw(t, "for"), rapid.SampledFrom([]float64{0.1, 0.5, 1}).Draw(t, "share"))
+			if size := sizes[kind]; size != "" {
+				text += ", size: " + size
+			}
+			if strings.HasPrefix(kind, "site_") || rapid.Bool().Draw(t, "at a site") {
+				text += `, site: "heredia"`
+			}
+			troubles = append(troubles, text+"}")
+		}
+		text := fmt.Sprintf(`{length: "7s", seed: %d, routers: {count: %d, policy: %q}, hosts: {count: %d, stops: %q}, clients: {rate: %d},
+			releases: [{at: "1s", fault: %q, size: 1, class: "read-board"}], troubles: [%s]}`, rapid.IntRange(0, 1000).Draw(t, "seed"),
+			rapid.IntRange(1, 5).Draw(t, "routers"), rapid.SampledFrom([]string{"module", "random", "least"}).Draw(t, "policy"),
+			rapid.IntRange(1, 12).Draw(t, "hosts"), rapid.SampledFrom([]string{"nothing", "waiting", "running"}).Draw(t, "stops"),
+			rapid.IntRange(1, 300).Draw(t, "rate"),
+			rapid.SampledFrom([]string{"", "slow", "errors", "class", "late", "load", "wrong", "neighbours"}).Draw(t, "fault"),
+			strings.Join(troubles, ", "))
+		s, err := script.Parse("drawn", text)
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		r, err := Run(s, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := conserved(r); err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		if r.Rules.Lost > 0 || r.Rules.Doubled > 0 || r.Rules.LateToDrained > 0 {
+			t.Fatalf("%s: %+v %v", text, r.Rules, r.Broken)
+		}
+		if r.Events == 0 || r.Requests > 0 && r.Attempts == 0 && len(troubles) == 0 {
+			t.Fatalf("nothing happened: %+v", r)
+		}
+	})
+}
+
+// A sweep comes to the same however many plays run at a time, and gathers them by value.
+func TestSweep(t *testing.T) {
+	play := func() Sweep {
+		s, err := RunSweep(func(sets map[string]any) (script.Script, error) {
+			sets["length"] = "10s"
+			sets["releases"] = nil
+			return script.Load("../../deploy/rehearsals/calm.jsonnet", sets)
+		}, "clients.rate", []string{"50", "900"}, []uint64{1, 2, 3}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	a := play()
+	was := runtime.GOMAXPROCS(1)
+	b := play()
+	runtime.GOMAXPROCS(was)
+	if fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Error("a sweep depends on the processors")
+	}
+	if len(a.Points) != 2 || len(a.Points[0].Plays) != 3 || a.Points[0].Service.Mean < a.Points[1].Service.Mean+0.1 {
+		t.Errorf("%+v", a.Points)
+	}
+	if p := a.Points[0]; p.Service.Least > p.Service.Median || p.Service.Median > p.Service.Most || p.Plays[0].Seed != 1 {
+		t.Errorf("%+v", p)
+	}
+	if _, err := RunSweep(func(sets map[string]any) (script.Script, error) {
+		return script.Load("../../deploy/rehearsals/calm.jsonnet", sets)
+	}, "clients.rte", []string{"1"}, []uint64{1}, nil); err == nil || !strings.Contains(err.Error(), "clients.rte") {
+		t.Errorf("a wrong path: %v", err)
+	}
+}
+
+// A report takes its name whole, or leaves what was there.
+func TestWriteWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.json")
+	if err := WriteFile(path, Report{Script: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	err := WriteWhole(path, func(w Writer) error {
+		fmt.Fprint(w, "half")
+		return fmt.Errorf("broke off")
+	})
+	data, _ := os.ReadFile(path)
+	left, _ := os.ReadDir(filepath.Dir(path))
+	if err == nil || !bytes.Contains(data, []byte(`"script": "x"`)) || len(left) != 1 {
+		t.Errorf("%v, %q, %d files", err, data, len(left))
+	}
+	if err := WriteFile(filepath.Join(path, "no", "such"), 1); err == nil {
+		t.Error("written into nowhere")
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/report.go
@@ -0,0 +1,332 @@
+package rehearsal
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"merlinarch/internal/rehearsal/script"
+)
+
+// windowLength is that of the windows that service is told by.
+const windowLength = 10 * time.Second
+
+// WindowSeconds is the same in seconds.
+const WindowSeconds = float64(windowLength / time.Second)
+
+// Parts of service: the whole rehearsal, its worst window, its worst class, its worst tenant.
+const (
+	partWhole  = 0.4
+	partWindow = 0.3
+	partClass  = 0.2
+	partTenant = 0.1
+)
+
+// Report is what a rehearsal came to. All figures are emulated, or emulated hosts on live loopback.
+type Report struct {
+	Script   string         `json:"script"`
+	Live     bool           `json:"live"`
+	Seed     uint64         `json:"seed"`
+	Routers  int            `json:"routers"`
+	Hosts    int            `json:"hosts"`
+	Policy   string         `json:"policy"`
+	Service  float64        `json:"service"` // 0 to 1, of the parts below
+	Whole    float64        `json:"service_whole"`
+	Worst    float64        `json:"service_worst_window"`
+	Outcomes string         `json:"outcomes_sha256"` // over every try's id, answer and time
+	Requests int            `json:"requests"`
+	Ends     map[string]int `json:"ends"` // of requests
+	Events   uint64         `json:"events"`
+	VirtualS float64        `json:"virtual_s"`
+	Rules    Rules          `json:"rules"`
+	Broken   []string       `json:"broken,omitempty"` // the first that were seen
+	Attempts int            `json:"attempts"`
+	TurnedBy int            `json:"turned_away"`
+	Waste    float64        `json:"waste"` // part of the hosts' work that went into answers nobody got
+	Classes  []Part         `json:"classes"`
+	Tenants  []Part         `json:"tenants"`
+	Windows  []Window       `json:"windows"`
+	Builds   []BuildReport  `json:"builds"`
+	Marks    []Mark         `json:"marks"`
+}
+
+// Part is the service of one class or tenant, and its answers' times.
+type Part struct {
+	Name    string  `json:"name"`
+	Asked   int     `json:"asked"`
+	Service float64 `json:"service"`
+	P50ms   float64 `json:"p50_ms"`
+	P99ms   float64 `json:"p99_ms"`
+}
+
+// Window is what became of the requests that came in some seconds; the times are those of answers that came in it.
+type Window struct {
+	AtS     float64 `json:"at_s"`
+	Asked   int     `json:"asked"`
+	Served  int     `json:"served"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Service float64 `json:"service"`
+	P50ms   float64 `json:"p50_ms"`
+	P99ms   float64 `json:"p99_ms"`
+
+	worth, got float64
+}
+
+// account is worth asked and served.
+type account struct {
+	asked      int
+	worth, got float64
+	times      *hdrhistogram.Histogram // microseconds
+}
+
+// tally adds up service.
+type tally struct {
+	s                       *script.Script
+	classShare, tenantShare float64
+	whole                   account
+	classes, tenants        []account
+	windows                 []Window
+	times                   *hdrhistogram.Histogram // of the window under way
+	timed                   int                     // that window
+	ends                    [5]int
+}
+
+// newTimes keeps times from a microsecond to ten minutes, to two digits.
+func newTimes() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Minute).Microseconds(), 2)
+}
+
+func newTally(s *script.Script) tally {
+	t := tally{s: s, times: newTimes()}
+	for _, c := range s.Classes {
+		t.classShare += c.Share
+		t.classes = append(t.classes, account{times: newTimes()})
+	}
+	for _, x := range s.Tenants {
+		t.tenantShare += x.Share
+		t.tenants = append(t.tenants, account{times: newTimes()})
+	}
+	n := int((s.Length + windowLength - 1) / windowLength)
+	for i := range n {
+		t.windows = append(t.windows, Window{AtS: (time.Duration(i) * windowLength).Seconds()})
+	}
+	return t
+}
+
+// asked counts a new wish and tells its window.
+func (t *tally) asked(at time.Duration, class, tenant int, c *script.Class) int {
+	i := min(int(at/windowLength), len(t.windows)-1)
+	t.windows[i].Asked++
+	t.windows[i].worth += c.Worth
+	for _, a := range []*account{&t.whole, &t.classes[class], &t.tenants[tenant]} {
+		a.asked++
+		a.worth += c.Worth
+	}
+	return i
+}
+
+// ended counts a wish that is over.
+func (t *tally) ended(q *Wish, s Status, now time.Duration) {
+	t.ends[s]++
+	win := &t.windows[q.window]
+	switch s {
+	case Served:
+		win.Served++
+	case Refused:
+		win.Refused++
+	default:
+		win.Failed++
+	}
+	if s != Served {
+		return
+	}
+	took := now - q.at
+	got := q.class.Worth
+	if took > q.class.Aim {
+		got *= q.class.LateWorth
+	}
+	if took > q.class.Deadline {
+		got = 0
+	}
+	class := 0
+	for i := range t.s.Classes {
+		if &t.s.Classes[i] == q.class {
+			class = i
+		}
+	}
+	win.got += got
+	us := max(1, took.Microseconds())
+	for _, a := range []*account{&t.whole, &t.classes[class], &t.tenants[q.tenant]} {
+		a.got += got
+		if a.times != nil {
+			_ = a.times.RecordValue(min(us, a.times.HighestTrackableValue()))
+		}
+	}
+	_ = t.times.RecordValue(min(us, t.times.HighestTrackableValue()))
+}
+
+// closeWindow takes the times of the window that ends.
+func (t *tally) closeWindow() {
+	if t.timed < len(t.windows) {
+		w := &t.windows[t.timed]
+		w.P50ms, w.P99ms = millis(t.times, 50), millis(t.times, 99)
+	}
+	t.times.Reset()
+	t.timed++
+}
+
+func millis(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func part(got, all float64) float64 {
+	if all == 0 {
+		return 1
+	}
+	return got / all
+}
+
+// timeWindows closes each window as it ends.
+func (w *World) timeWindows() {
+	w.q.after(windowLength, func() {
+		w.tally.closeWindow()
+		if w.tally.timed < len(w.tally.windows) {
+			w.timeWindows()
+		}
+	})
+}
+
+// Report sums up; what is still open then is told as open.
+func (w *World) Report() Report {
+	t := &w.tally
+	r := Report{Script: w.s.Name, Live: w.referee.slack > 0, Seed: w.s.Seed, Routers: w.s.Routers.Count,
+		Hosts: w.s.Hosts.Count, Policy: w.s.Routers.Policy, Requests: w.wishes, Events: w.q.done,
+		VirtualS: w.q.now.Seconds(), Rules: w.referee.rules, Broken: w.referee.first, Attempts: w.attempts,
+		TurnedBy: w.rejected, Waste: 0, Builds: w.reports, Marks: w.troubled,
+		Outcomes: hex.EncodeToString(w.digest.Sum(nil)), Ends: map[string]int{}}
+	if w.worked > 0 {
+		r.Waste = w.wasted / w.worked
+	}
+	ended := 0
+	for s, n := range t.ends {
+		r.Ends[statusNames[s]] = n
+		ended += n
+	}
+	r.Ends[statusNames[Open]] = w.wishes - ended
+	r.Whole, r.Worst = part(t.whole.got, t.whole.worth), 1
+	for i := range t.windows {
+		win := &t.windows[i]
+		win.Service = part(win.got, win.worth)
+		r.Worst = min(r.Worst, win.Service)
+	}
+	r.Windows = t.windows
+	worst := func(accounts []account, name func(int) string) (list []Part, least float64) {
+		least = 1
+		for i, a := range accounts {
+			p := Part{Name: name(i), Asked: a.asked, Service: part(a.got, a.worth), P50ms: millis(a.times, 50),
+				P99ms: millis(a.times, 99)}
+			least = min(least, p.Service)
+			list = append(list, p)
+		}
+		return list, least
+	}
+	var class, tenant float64
+	r.Classes, class = worst(t.classes, func(i int) string { return w.s.Classes[i].Name })
+	r.Tenants, tenant = worst(t.tenants, func(i int) string { return w.s.Tenants[i].Name })
+	r.Service = partWhole*r.Whole + partWindow*r.Worst + partClass*class + partTenant*tenant
+	for i := range r.Builds {
+		b := &r.Builds[i]
+		b.Attempts = w.referee.trials[b.Build]
+		if t.whole.worth > 0 {
+			b.Harm = w.referee.harm[b.Build] / t.whole.worth
+		}
+	}
+	return r
+}
+
+// Writer is where a file's content goes.
+type Writer = io.Writer
+
+// WriteFile writes a value as JSON, whole or not at all.
+func WriteFile(path string, v any) error {
+	return WriteWhole(path, func(f Writer) error {
+		e := json.NewEncoder(f)
+		e.SetIndent("", " ")
+		return e.Encode(v)
+	})
+}
+
+// WriteWhole writes a file, whole or not at all: it takes its name once all is on the disk.
+func WriteWhole(path string, write func(Writer) error) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".rehearsal-*")
+	if err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	defer os.Remove(f.Name()) // it is gone already where all went well
+	err = write(f)
+	if err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	return nil
+}
+
+// round keeps figures on the screen short.
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// Lines tells a report in a few lines.
+func (r Report) Lines() []string {
+	kind := "emulated"
+	if r.Live {
+		kind = "emulated hosts, live routers on loopback"
+	}
+	out := []string{
+		fmt.Sprintf("%s, seed %d: service %.3f (%s; whole %.3f, worst window %.3f)", r.Script, r.Seed, r.Service, kind,
+			r.Whole, r.Worst),
+		fmt.Sprintf("%d routers (%s), %d hosts, %.0f s, %d requests: %d served, %d refused, %d failed, %d abandoned, %d open",
+			r.Routers, r.Policy, r.Hosts, r.VirtualS, r.Requests, r.Ends["served"], r.Ends["refused"], r.Ends["failed"],
+			r.Ends["abandoned"], r.Ends["open"]),
+		fmt.Sprintf("rules broken: lost %d, doubled %d, late to drained %d, pushed over %d, over cap %d", r.Rules.Lost,
+			r.Rules.Doubled, r.Rules.LateToDrained, r.Rules.PushedOver, r.Rules.OverCap),
+	}
+	for _, c := range r.Classes {
+		out = append(out, fmt.Sprintf("  %s: %d asked, service %v, p50 %.0f ms, p99 %.0f ms", c.Name, c.Asked,
+			round(c.Service), c.P50ms, c.P99ms))
+	}
+	for _, b := range r.Builds {
+		fault := b.Fault
+		if fault == "" {
+			fault = "good"
+		}
+		line := fmt.Sprintf("  build %d (%s), offered at %.0f s: %s", b.Build, fault, b.OfferedS, b.End)
+		if b.BackS >= 0 {
+			line += fmt.Sprintf(" after %.1f s in wave %d, harm %.4f", b.BackS, b.Stage+1, b.Harm)
+		} else if b.Released >= 0 {
+			line += fmt.Sprintf(" after %.1f s, harm %.4f", b.Released, b.Harm)
+		}
+		out = append(out, line)
+	}
+	for i, b := range r.Broken {
+		if i == 5 {
+			break
+		}
+		out = append(out, "  broken: "+b)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/discovery/discovery.go
@@ -0,0 +1,147 @@
+// Package discovery stands in for the agent from which a router learns the list of servers: the whole list, and a
+// watch that holds one JSON object a line.
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Host is one entry of the list, in the protocol's form.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"` // up, draining or removed
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+	Build  int     `json:"build"`
+}
+
+// List is the list, or the changes since an earlier one.
+type List struct {
+	Seq   uint64 `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Server is one router's agent.
+type Server struct {
+	listen net.Listener
+	http   http.Server
+	work   sync.WaitGroup
+	done   chan struct{}
+
+	mu      sync.Mutex
+	changes []Host        // each made the list's next version
+	told    chan struct{} // closed and replaced by each change
+}
+
+const sign = 2 * time.Second // an empty line comes so often while nothing changes
+
+// Listen starts an agent at a loopback address; port 0 picks one.
+func Listen(addr string) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	s := &Server{listen: l, done: make(chan struct{}), told: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", s.targets)
+	s.http.Handler = mux
+	s.work.Go(func() {
+		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // a defect of the stand-in: its listener is its own
+		}
+	})
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.listen.Addr().String() }
+
+// Close ends it, its watches too.
+func (s *Server) Close() {
+	close(s.done)
+	s.http.Close()
+	s.work.Wait()
+}
+
+// Change adds a change to the list; those who watch are told at once.
+func (s *Server) Change(hosts ...Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, hosts...)
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+// List is the whole list as it stands.
+func (s *Server) List() List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := List{Seq: uint64(len(s.changes)), Whole: true, Hosts: []Host{}}
+	for _, c := range s.changes {
+		list.Hosts = slices.DeleteFunc(list.Hosts, func(h Host) bool { return h.Host == c.Host })
+		if c.Health != "removed" {
+			list.Hosts = append(list.Hosts, c)
+		}
+	}
+	return list
+}
+
+// since gives what changed after a version, and what closes at the next change.
+func (s *Server) since(version uint64) (List, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version = min(version, uint64(len(s.changes)))
+	return List{Seq: uint64(len(s.changes)), Hosts: slices.Clone(s.changes[version:])}, s.told
+}
+
+func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
+	enc := json.NewEncoder(w)
+	if r.URL.Query().Get("watch") == "" {
+		enc.Encode(s.List())
+		return
+	}
+	version, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from", http.StatusBadRequest)
+		return
+	}
+	flush := http.NewResponseController(w)
+	for first := true; ; first = false {
+		list, told := s.since(version)
+		if len(list.Hosts) > 0 || first {
+			if list.Hosts == nil {
+				list.Hosts = []Host{}
+			}
+			err = enc.Encode(list)
+		} else {
+			_, err = w.Write([]byte("\n"))
+		}
+		if err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			return
+		}
+		version = list.Seq
+		select {
+		case <-told:
+		case <-time.After(sign):
+		case <-r.Context().Done():
+			return
+		case <-s.done:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/logic/bench_test.go
@@ -0,0 +1,51 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDecision is one request from its arrival to its answer, with the ticks that fall into it: by hosts and by
+// routers, at 100 requests a second and router.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range [][2]int{{15, 3}, {60, 80}, {300, 3}, {1000, 3}, {1000, 300}} {
+		hosts, routers := size[0], size[1]
+		b.Run(fmt.Sprintf("hosts=%d/routers=%d", hosts, routers), func(b *testing.B) {
+			s := testSettings()
+			s.Peers = routers
+			r, now := New(s, 7), origin
+			list := make([]Server, hosts)
+			for i := range list {
+				list[i] = host(i+1, zone([]string{"a", "b", "c"}[i%3]))
+			}
+			r.Handle(now, ServersListed{Full: true, Servers: list})
+			r.Handle(now, ReleaseStatus{Build: 1, Stage: 2, Phase: Released, Cap: 1})
+			ids := make([]RequestID, 64)
+			for i := range ids {
+				ids[i] = RequestID(fmt.Sprint(i))
+			}
+			busy := InFlight{{1, 2}, {2, 1}}.Encode()
+			tick := now
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now += 10 * time.Millisecond
+				for tick+tickEvery <= now {
+					tick += tickEvery
+					r.Handle(tick, TimerFired{Token: 1})
+				}
+				if routers > 1 && n%10 == 0 {
+					r.Handle(now, PeerMessage{From: 1 + n%(routers-1), Data: busy})
+				}
+				id := ids[n%len(ids)]
+				for _, a := range r.Handle(now, RequestArrived{ID: id, Class: "read", Tenant: "t", Left: time.Second}) {
+					if send, ok := a.(Send); ok {
+						r.Handle(now+5*time.Millisecond, AttemptDone{ID: id, Outcome: OK, Took: 5 * time.Millisecond,
+							Server: send.Server, Final: true})
+						break
+					}
+				}
+			}
+		})
+	}
+}
