--- a/internal/rehearsal/bench_test.go
+++ b/internal/rehearsal/bench_test.go
@@ -36,6 +36,7 @@
 		{"water-cut/3x15/10m", nil, "water-cut"},
 		{"80x60/10m", map[string]any{"routers.count": 80.0, "hosts.count": 60.0, "clients.rate": 900.0}, "water-cut"},
 		{"300x1000/1m", map[string]any{"routers.count": 300.0, "hosts.count": 1000.0, "clients.rate": 14000.0}, "calm"},
+		{"300x1000/10s", map[string]any{"routers.count": 300.0, "hosts.count": 1000.0, "clients.rate": 14000.0, "length": "10s"}, "calm"},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			runtime.GOMAXPROCS(1)
--- a/internal/rehearsal/script/check.go
+++ b/internal/rehearsal/script/check.go
@@ -95,6 +95,7 @@
 	number(c, "network.dial_timeout", n.DialTimeout, time.Millisecond, time.Minute)
 	c.span("discovery.change", s.Discovery.Change, time.Hour)
 	c.span("discovery.loss", s.Discovery.Loss, time.Hour)
+	number(c, "discovery.period", s.Discovery.Period, 0, time.Hour)
 	s.checkTraffic(c, k)
 	number(c, "launcher.cap", len(l.Cap), 1, 100)
 	c.want(len(l.Share) == len(l.Cap), "launcher.share", "as many as launcher.cap, %d, got %d", len(l.Cap), len(l.Share))
