--- /dev/null
+++ b/cmd/merlinarch-rehearse/main_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"image/png"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"merlinarch/internal/rehearsal"
+)
+
+const small = `{name: "small", length: "12s", clients: {rate: 60}, releases: [{at: "2s", fault: "errors", size: 0.5}],
+  troubles: [{kind: "crash", at: "4s", "for": "2s", share: 0.2}]}`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func call(t *testing.T, want int, args ...string) (out, er string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	if code := run(args, &o, &e); code != want {
+		t.Errorf("%v: code %d, want %d; %q", args, code, want, e.String())
+	}
+	return o.String(), e.String()
+}
+
+// What is wrong is told in one line with exit code 2, and nothing is written.
+func TestWrongCalls(t *testing.T) {
+	good, dir := write(t, "good.jsonnet", small), t.TempDir()
+	report := filepath.Join(dir, "r.json")
+	for _, c := range []struct {
+		args []string
+		says string
+	}{
+		{[]string{"run", write(t, "a.jsonnet", `{clients: {rte: 1}}`), "--json", report}, "a.jsonnet: clients.rte: expected"},
+		{[]string{"run", write(t, "b.jsonnet", `{`), "--json", report}, "b.jsonnet: not Jsonnet"},
+		{[]string{"check", filepath.Join(dir, "none.jsonnet")}, "none.jsonnet: no such file"},
+		{[]string{"run", good, "--policy", "magic", "--json", report}, "routers.policy: expected one of"},
+		{[]string{"run", good, "--hosts", "99999", "--json", report}, "hosts.count: expected"},
+		{[]string{"sweep", good, "--set", "clients.rate"}, "--set: expected"},
+		{[]string{"sweep", good, "--set", "clients.rate=1,2", "--seeds", "9-1"}, "--seeds: expected"},
+		{[]string{"sweep", good, "--set", "clients.rate=1,x", "--json", report}, "clients.rate: expected float64"},
+		{[]string{"live", good, "--policy", "random", "--json", report}, "virtual time only"},
+		{[]string{"compare", good, good}, "not a report"},
+		{[]string{"run"}, "arg"},
+		{[]string{"dance"}, "unknown command"},
+	} {
+		if _, er := call(t, exitBadCall, c.args...); !strings.Contains(er, c.says) || strings.Count(er, "\n") != 1 && c.args[0] != "dance" {
+			t.Errorf("%v: %q, want %q", c.args, er, c.says)
+		}
+	}
+	if _, err := os.Stat(report); err == nil {
+		t.Error("something was played")
+	}
+}
+
+func TestRunAndCompare(t *testing.T) {
+	script, dir := write(t, "small.jsonnet", small), t.TempDir()
+	one, two, other := filepath.Join(dir, "1.json"), filepath.Join(dir, "2.json"), filepath.Join(dir, "3.json")
+	if out, _ := call(t, exitOK, "check", script); !strings.Contains(out, "script is good: small") {
+		t.Errorf("%q", out)
+	}
+	out, er := call(t, exitOK, "run", script, "--seed", "7", "--json", one, "--plot", filepath.Join(dir, "plots"))
+	if !strings.Contains(out, "service 0.") && !strings.Contains(out, "service 1.") || er != "" {
+		t.Errorf("%q %q", out, er) // no progress in a pipe
+	}
+	call(t, exitOK, "run", script, "--seed", "7", "--json", two)
+	call(t, exitOK, "run", script, "--seed", "8", "--json", other, "--policy", "random", "--routers", "2", "--hosts", "5")
+	a, _ := os.ReadFile(one)
+	b, _ := os.ReadFile(two)
+	if len(a) == 0 || !bytes.Equal(a, b) {
+		t.Error("two plays differ")
+	}
+	var r rehearsal.Report
+	if err := json.Unmarshal(a, &r); err != nil || r.Requests < 500 || r.Service <= 0 || len(r.Outcomes) != 64 || len(r.Windows) != 2 {
+		t.Errorf("%v %+v", err, r)
+	}
+	if out, _ := call(t, exitOK, "compare", one, two, "--within", "0"); !strings.Contains(out, "the same outcomes") {
+		t.Errorf("%q", out)
+	}
+	if out, er := call(t, exitFailed, "compare", one, other, "--within", "0"); !strings.Contains(out, "other outcomes") ||
+		!strings.Contains(er, "service differs") {
+		t.Errorf("%q %q", out, er)
+	}
+	picture(t, filepath.Join(dir, "plots", "small.png"))
+}
+
+func TestSweep(t *testing.T) {
+	script, dir := write(t, "small.jsonnet", small), t.TempDir()
+	report := filepath.Join(dir, "s.json")
+	out, _ := call(t, exitOK, "sweep", script, "--set", "releases[0].size=0.3,0.9", "--seeds", "1-3", "--json", report, "--plot", dir)
+	if strings.Count(out, "service mean") != 2 {
+		t.Errorf("%q", out)
+	}
+	data, err := os.ReadFile(report)
+	var s rehearsal.Sweep
+	if err != nil || json.Unmarshal(data, &s) != nil || len(s.Points) != 2 || s.Points[1].Value != "0.9" || len(s.Points[1].Plays) != 3 {
+		t.Errorf("%v %s", err, data)
+	}
+	picture(t, filepath.Join(dir, "small-sweep.png"))
+	// What can't be written is a failure, not a wrong call.
+	call(t, exitFailed, "run", script, "--json", filepath.Join(dir, "no", "such", "r.json"))
+}
+
+// picture reads a plot back: it has to be a picture with more than its background.
+func picture(t *testing.T, path string) {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	img, err := png.Decode(f)
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	colors := map[any]bool{}
+	for x := img.Bounds().Min.X; x < img.Bounds().Max.X; x += 3 {
+		for y := img.Bounds().Min.Y; y < img.Bounds().Max.Y; y += 3 {
+			colors[img.At(x, y)] = true
+		}
+	}
+	if len(colors) < 4 {
+		t.Errorf("%s has %d colours", path, len(colors))
+	}
+}
--- a/internal/rehearsal/chart/chart.go
+++ b/internal/rehearsal/chart/chart.go
@@ -167,6 +167,7 @@
 			drawn = true
 		}
 		p.NominalX(names...)
+		p.X.Min, p.X.Max = -0.5, float64(len(names))-0.5
 		if drawn {
 			plots = append(plots, p)
 		}
--- a/internal/rehearsal/live/live.go
+++ b/internal/rehearsal/live/live.go
@@ -198,7 +198,7 @@
 	}
 	var err error
 	st.relay, err = peers.Listen(listens, func(from, to int, data []byte) {
-		st.post(func() { st.w.Carry(from, to, func() { st.relay.Send(from, to, data) }) })
+		st.post(func() { st.w.Carry(from, to, len(data), func() { st.relay.Send(from, to, data) }) })
 	})
 	return err
 }
--- a/internal/rehearsal/nodes.go
+++ b/internal/rehearsal/nodes.go
@@ -495,7 +495,7 @@
 		if i == n.number || a.Peer >= 0 && i != a.Peer {
 			continue
 		}
-		w.Carry(n.number, i, func() {
+		w.Carry(n.number, i, len(data), func() {
 			if to.driver != nil {
 				to.feed(logic.PeerMessage{From: n.number, Data: data})
 			}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -61,14 +61,15 @@
 	routers []*routerState
 	launcher
 	traffic
-	cut                map[string]bool // sites cut off
-	linkSlow           time.Duration
-	linkLoss           float64
-	listSilent         bool
-	harmful            float64 // part of the attempts that go to a build that slows its neighbours, smoothed
-	worked, wasted     float64 // seconds of hosts' work: all, and that for answers nobody got
-	attempts, rejected int
-	troubled           []Mark
+	cut                    map[string]bool // sites cut off
+	linkSlow               time.Duration
+	linkLoss               float64
+	listSilent             bool
+	harmful                float64 // part of the attempts that go to a build that slows its neighbours, smoothed
+	worked, wasted         float64 // seconds of hosts' work: all, and that for answers nobody got
+	attempts, rejected     int
+	messages, messageBytes int // between routers, by receiver
+	troubled               []Mark
 }
 
 // routerState is what the world knows of a router.
@@ -288,8 +289,9 @@
 	w.referee.news(i, s)
 }
 
-// Carry brings a message from a router to another: late, or not at all.
-func (w *World) Carry(from, to int, arrive func()) {
+// Carry brings a message of so many bytes from a router to another: late, or not at all.
+func (w *World) Carry(from, to, size int, arrive func()) {
+	w.messages, w.messageBytes = w.messages+1, w.messageBytes+size
 	if w.apart(w.routers[from].site, w.routers[to].site) || w.draws.Float64() < w.s.Network.MessageLoss {
 		return
 	}
