--- /dev/null
+++ b/cmd/merlinarch/ledger_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinarch/internal/config"
+	"merlinarch/internal/features"
+	"merlinarch/internal/testwait"
+)
+
+// A router with its ledger on counts what clients received; the commands read, correct and check the file.
+func TestLedgerOfARouter(t *testing.T) {
+	w := newTown(t)
+	listen := freeAddr(t)
+	path := w.configuration(t, listen)
+	c, err := config.Load(path, none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "n0.ledger")
+	f := features.Default()
+	f.Ledger.File = file
+	done := make(chan error, 1)
+	go func() { done <- serve(c, f, zap.NewNop()) }()
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	for i := range 5 {
+		if status, _, err := get(listen, "/api", fmt.Sprint("id", i)); status != 200 || err != nil {
+			t.Fatalf("%d %v", status, err)
+		}
+	}
+	if err := serve(c, f, zap.NewNop()); err == nil { // its port and its file are taken
+		t.Error("a second router started")
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := testwait.Value(t, "the router to end", done); err != nil {
+		t.Fatal(err)
+	}
+	call := func(want int, args ...string) string {
+		t.Helper()
+		var out, er bytes.Buffer
+		if code := run(append([]string{"ledger"}, append(args, "--config", path)...), &out, &er, none); code != want {
+			t.Errorf("%v: code %d, %q", args, code, er.String())
+		}
+		return out.String() + er.String()
+	}
+	if text := call(0, "show", file, "--format", "csv"); !strings.Contains(text, ",false,(other),read,served,5,5,5,0,5") {
+		t.Errorf("%s", text)
+	}
+	now := time.Now().UTC().Format(time.RFC3339)
+	correct := []string{"correct", file, "--period", now, "--tenant", "(other)", "--class", "read", "--amount", "-2", "--reason", "test",
+		"--author", "op", "--key", "k1"}
+	call(0, correct...)
+	call(0, correct...) // the same key again
+	if text := call(0, "show", file); !strings.Contains(text, "served   5         3 ") || !strings.Contains(text, "0 unconfirmed") {
+		t.Errorf("%s", text)
+	}
+	if text := call(0, "show", file, "--format", "json", "--tenant", "nobody", "--period", now); !strings.Contains(text, `"lines": []`) {
+		t.Errorf("%s", text)
+	}
+	if text := call(0, "verify", file); !strings.Contains(text, "good") {
+		t.Errorf("%s", text)
+	}
+	if text := call(1, "verify", file+".none"); !strings.Contains(text, "no such file") {
+		t.Errorf("%s", text)
+	}
+	call(2, "show", file, "--format", "xml")
+	call(2, "show", file, "--period", "yesterday")
+	call(2, append(correct, "--period", "yesterday")...)
+	call(1, append(correct, "--amount", "-3")...) // the key with another content
+}
--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -2,10 +2,12 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime/debug"
 	"slices"
@@ -17,6 +19,7 @@
 	"merlinarch/internal/config"
 	"merlinarch/internal/features"
 	"merlinarch/internal/logging"
+	"merlinarch/internal/template"
 )
 
 // Exit codes.
@@ -43,7 +46,7 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetArgs(twoDashes(args))
-	root.AddCommand(serveCommand(env), checkCommand(env), rehearseCommand(), versionCommand())
+	root.AddCommand(serveCommand(env), checkCommand(env), ledgerCommand(env), rehearseCommand(), versionCommand())
 	err := root.Execute()
 	if err == nil {
 		return exitOK
@@ -84,7 +87,7 @@
 SIGUSR1 prints its counters, SIGHUP reads the addresses of discovery and platform anew, SIGTERM ends it once all
 is answered. LB_NAME, LB_LISTEN and LB_DISCOVERY come before what the configuration says.`,
 		RunE: func(*cobra.Command, []string) error {
-			c, _, err := f.load(env)
+			c, s, err := f.load(env)
 			if err != nil {
 				return err
 			}
@@ -92,7 +95,7 @@
 			if err != nil {
 				return err
 			}
-			if err := serve(c, log); err != nil {
+			if err := serve(c, s, log); err != nil {
 				return failure{err}
 			}
 			return nil
@@ -124,20 +127,30 @@
 	if err != nil {
 		return c, features.Features{}, err
 	}
-	s, err := features.Load(f.settings)
+	s, err := features.Load(f.settings, readSettings)
 	return c, s, err
 }
 
-// rehearseCommand goes over to the program beside this one that has the tools' libraries: they would double what a
-// router holds at rest.
+// toolsProgram lies beside this one. It has the tools' libraries and the templates': they would double what a router
+// holds at rest.
+const toolsProgram = "merlinarch-rehearse"
+
+func toolsPath() (string, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return "", failure{err}
+	}
+	return filepath.Join(filepath.Dir(own), toolsProgram), nil
+}
+
+// rehearseCommand goes over to the tools' program.
 func rehearseCommand() *cobra.Command {
 	return &cobra.Command{Use: "rehearse", Short: "Practise an incident: check, run, live, sweep, compare",
 		DisableFlagParsing: true, RunE: func(_ *cobra.Command, args []string) error {
-			own, err := os.Executable()
+			path, err := toolsPath()
 			if err != nil {
-				return failure{err}
+				return err
 			}
-			path := filepath.Join(filepath.Dir(own), rehearseProgram)
 			if err := syscall.Exec(path, append([]string{path}, args...), os.Environ()); err != nil {
 				return failure{fmt.Errorf("%s: %w (it is built beside merlinarch)", path, err)}
 			}
@@ -145,8 +158,30 @@
 		}}
 }
 
-// rehearseProgram is the name of that program.
-const rehearseProgram = "merlinarch-rehearse"
+// readSettings reads plain JSON by itself; a template is evaluated by the tools' program.
+func readSettings(path string) (map[string]any, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &template.Error{File: path, Text: errors.Unwrap(err).Error()}
+	}
+	if json.Valid(data) {
+		return template.Object(path, string(data))
+	}
+	tools, err := toolsPath()
+	if err != nil {
+		return nil, err
+	}
+	var out, wrong strings.Builder
+	c := exec.Command(tools, "settings", path)
+	c.Stdout, c.Stderr = &out, &wrong
+	if err := c.Run(); err != nil {
+		if wrong.Len() == 0 {
+			return nil, failure{fmt.Errorf("%s can't be evaluated: %w (%s is built beside merlinarch; plain JSON does without)", path, err, toolsProgram)}
+		}
+		return nil, errors.New(strings.TrimSpace(strings.TrimPrefix(wrong.String(), "merlinarch rehearse: ")))
+	}
+	return template.Object(path, out.String())
+}
 
 func versionCommand() *cobra.Command {
 	return &cobra.Command{Use: "version", Short: "Print the version", Args: noMore, Run: func(c *cobra.Command, _ []string) {
--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -17,7 +17,9 @@
 	"merlinarch/internal/clients"
 	"merlinarch/internal/config"
 	"merlinarch/internal/discovery"
+	"merlinarch/internal/features"
 	"merlinarch/internal/gateway"
+	"merlinarch/internal/ledger"
 	"merlinarch/internal/metrics"
 	"merlinarch/internal/peers"
 	"merlinarch/internal/platform"
@@ -32,7 +34,7 @@
 func (n nobody) Post(logic.Post) { n.count.Inc("peers.not_sent") }
 
 // serve runs the router until SIGTERM or SIGINT, and until all that it has taken is answered.
-func serve(c config.Config, log *zap.Logger) error {
+func serve(c config.Config, f features.Features, log *zap.Logger) (err error) {
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	debug.SetGCPercent(c.Limits.GCPercent)
@@ -53,6 +55,13 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer listen.Close()
+	var book *ledger.Ledger
+	if f.Ledger.File != "" {
+		if book, err = ledger.Open(f.Ledger.File, ledgerOptions(f.Ledger, c.Settings, c.Name)); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, book.Close()) }() // last: all that was taken is answered by then
+	}
 	parts := gateway.Parts{Platform: nobody{count}, Peers: nobody{count}}
 	var others *peers.Peers
 	if c.PeerListen != "" {
@@ -91,6 +100,9 @@
 	work.Go(func() { watcher.Run(ctx) })
 
 	front := clients.New(c.Limits, c.Settings, gw, count, log)
+	if book != nil {
+		front.Accounts = ledger.NewCounter(book, c.Settings, f.Ledger.OnFailure == "refuse", count, log)
+	}
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listen) }()
 	log.Info("serving", zap.String("name", c.Name), zap.String("listen", c.Listen))
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -28,8 +28,19 @@
 	Left(*exchange.Exchange)
 }
 
+// Accounts counts final answers. None of its methods decides where a request goes or how it ends.
+type Accounts interface {
+	// Count makes an answer's use durable before the answer goes out, or gives up when ctx ends; the function it
+	// returns is to be called once the last byte is written.
+	Count(ctx context.Context, f exchange.Fields, a exchange.Answer) (written func())
+	// Refusing tells that nothing new may be taken, since it could not be counted.
+	Refusing() bool
+}
+
 // Server serves clients.
 type Server struct {
+	Accounts Accounts // nil: answers are not counted; to be set before Serve
+
 	limits  config.Limits
 	reader  *reader
 	gateway Gateway
@@ -155,14 +166,19 @@
 	}
 	if !until.After(time.Now()) {
 		s.count.Inc("requests.over_when_read")
-		s.answer(w, exchange.Answer{Status: exchange.TimedOut})
+		s.finish(w, f, exchange.Answer{Status: exchange.TimedOut}, until)
+		return
+	}
+	if s.Accounts != nil && s.Accounts.Refusing() {
+		s.count.Inc("requests.refused_uncountable")
+		s.answer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
 		return
 	}
 	if full {
 		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
 		// sent for this request, so a refusal is in order whatever its class.
 		s.count.Inc("requests.refused_full")
-		s.answer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
+		s.finish(w, f, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, until)
 		return
 	}
 	// Danger: two requests of one id, out at a time, pass for one that was sent twice. The first goes on; the id
@@ -174,7 +190,22 @@
 	a := s.wait(r.Context(), m, f, until)
 	defer a.Release()
 	s.ids.release(m.ID)
+	s.finish(w, f, a, until)
+}
+
+// finish counts a final answer where that is wanted, and writes it. Danger: an answer that a client has received
+// must be counted after a crash, so its use is durable first; but a slow disk must not make it late.
+func (s *Server) finish(w http.ResponseWriter, f exchange.Fields, a exchange.Answer, until time.Time) {
+	if s.Accounts == nil {
+		s.answer(w, a)
+		return
+	}
+	_, last := s.limits.Margins(time.Until(until))
+	ctx, stop := context.WithDeadline(context.Background(), until.Add(-last/2))
+	defer stop()
+	written := s.Accounts.Count(ctx, f, a)
 	s.answer(w, a)
+	written()
 }
 
 // turnDown answers a request that can't be served, whatever the decisions.
--- /dev/null
+++ b/internal/decide/accounts/state.go
@@ -0,0 +1,73 @@
+package accounts
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// State is a book at rest, in an order that does not depend on how it came about.
+type State struct {
+	Open  Period
+	Pages []PageState
+}
+
+// PageState is one period of it.
+type PageState struct {
+	Period Period
+	Lines  []StateLine
+	Notes  []Note
+}
+
+// StateLine is one account of a period.
+type StateLine struct {
+	Account Account
+	Sum     Sum
+}
+
+// State gives the book's state, for a snapshot.
+func (b *Book) State() State {
+	out := State{Open: b.open}
+	for _, p := range slices.Sorted(maps.Keys(b.pages)) {
+		page := PageState{Period: p, Notes: slices.Clone(b.pages[p].notes)}
+		for a, sum := range b.pages[p].sums {
+			page.Lines = append(page.Lines, StateLine{a, sum})
+		}
+		slices.SortFunc(page.Lines, func(x, y StateLine) int {
+			return cmp.Or(cmp.Compare(x.Account.Tenant, y.Account.Tenant), cmp.Compare(x.Account.Class, y.Account.Class),
+				cmp.Compare(x.Account.Outcome, y.Account.Outcome))
+		})
+		out.Pages = append(out.Pages, page)
+	}
+	return out
+}
+
+// Restore replaces the book's content by a state.
+func (b *Book) Restore(s State) {
+	b.open, b.pages, b.keys = s.Open, map[Period]*page{}, map[string]Note{}
+	for _, ps := range s.Pages {
+		p := &page{sums: map[Account]Sum{}, notes: slices.Clone(ps.Notes)}
+		for _, l := range ps.Lines {
+			p.sums[l.Account] = l.Sum
+		}
+		for _, n := range ps.Notes {
+			if n.Key != lateKey {
+				b.keys[n.Key] = n
+			}
+		}
+		b.pages[ps.Period] = p
+	}
+}
+
+// Periods are those that the book knows of, closed ones included.
+func (b *Book) Periods() []Period {
+	known := map[Period]bool{}
+	for p, page := range b.pages {
+		known[p] = len(page.sums) > 0 || known[p]
+		for _, n := range page.notes {
+			known[n.For] = true
+		}
+	}
+	maps.DeleteFunc(known, func(_ Period, yes bool) bool { return !yes })
+	return slices.Sorted(maps.Keys(known))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Body       []byte        // of a server's answer, unchanged
 	Free       func()        // to be called once the body is of no more use; nil: nothing to do
 	RetryAfter time.Duration // of a refusal; zero: no advice
+	Attempts   int           // at servers, that were made for it
 }
 
 // Exchange is one request on its way through the router.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -301,11 +301,11 @@
 	over := e.result.Outcome == logic.OK || c.Gone() || ex.Ended()
 	switch {
 	case e.result.Outcome == logic.OK:
-		if a := (exchange.Answer{Status: exchange.Served, Body: e.result.Body, Free: e.result.Free}); !ex.Finish(a) {
+		if a := (exchange.Answer{Status: exchange.Served, Body: e.result.Body, Free: e.result.Free, Attempts: e.attempt + 1}); !ex.Finish(a) {
 			a.Release()
 		}
 	case over:
-		ex.Finish(exchange.Answer{Status: exchange.Failed})
+		ex.Finish(exchange.Answer{Status: exchange.Failed, Attempts: e.attempt + 1})
 	}
 	if over {
 		delete(g.calls, ex)
@@ -343,9 +343,9 @@
 func (g effects) GiveUp(c *call) { c.Of.cancel() }
 
 func (g effects) Finish(c *call, refused bool, retryAfter time.Duration) {
-	a := exchange.Answer{Status: exchange.Failed}
+	a := exchange.Answer{Status: exchange.Failed, Attempts: c.Attempt() + 1}
 	if refused {
-		a = exchange.Answer{Status: exchange.Refused, RetryAfter: retryAfter}
+		a.Status, a.RetryAfter = exchange.Refused, retryAfter
 	}
 	c.Of.ex.Finish(a)
 	if !c.Out() {
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,513 @@
+package ledger
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	bolt "go.etcd.io/bbolt"
+
+	"merlinarch/internal/decide/accounts"
+)
+
+var (
+	bucketMeta    = []byte("meta")
+	bucketRecords = []byte("records")
+	keyVersion    = []byte("version")
+	keySnapshot   = []byte("snapshot")
+	keyEarlier    = []byte("earlier") // the snapshot before
+)
+
+// Errors of opening.
+var (
+	ErrInUse = errors.New("another process has the ledger open")
+	ErrNewer = errors.New("the ledger is of a newer version")
+	ErrIll   = errors.New("the ledger can't be written")
+)
+
+// Limits of a store.
+type Limits struct {
+	Group         int           // uses that one record holds at most
+	Waiting       int           // uses and confirmations that wait for the disk
+	SnapshotEvery uint64        // records between two snapshots; what both cover is dropped
+	LockWait      time.Duration // for another process
+	Probe         time.Duration // while the disk fails, it is tried so often
+}
+
+// DefaultLimits suit a router with a few thousand requests a second.
+func DefaultLimits() Limits {
+	return Limits{Group: 1024, Waiting: 8192, SnapshotEvery: 4096, LockWait: time.Second,
+		Probe: time.Second}
+}
+
+// Options is what a ledger is opened with.
+type Options struct {
+	Instance string
+	Accounts accounts.Settings
+	Limits   Limits
+	Now      func() time.Time
+	// commit stands for the store's own, so that tests can let the disk fail.
+	commit func(*bolt.DB, func(*bolt.Tx) error) error
+}
+
+// Ledger is an open store. Its methods may be called from any goroutine.
+type Ledger struct {
+	o      Options
+	db     *bolt.DB
+	mu     sync.Mutex // guards state
+	state  *state
+	serial atomic.Uint64
+	ill    atomic.Pointer[error]
+	work   chan item
+	done   chan struct{}
+	stop   context.CancelFunc
+	syncs  atomic.Int64
+	owed   []uint64 // confirmations that the disk did not take; the writer's own
+}
+
+// item is one thing for the writer; ready is told once it is durable, or can't be.
+type item struct {
+	use       *Use
+	confirmed uint64
+	note      *accounts.Note
+	ready     chan error
+}
+
+// Open opens or creates a ledger and begins a new life of its instance.
+func Open(path string, o Options) (*Ledger, error) {
+	db, st, err := load(path, o, false)
+	if err != nil {
+		return nil, err
+	}
+	l := &Ledger{o: o, db: db, state: st, work: make(chan item, o.Limits.Waiting), done: make(chan struct{})}
+	st.life = Opening{Instance: o.Instance, Incarnation: st.life.Incarnation + 1}
+	life := st.life
+	if err := l.write(Record{Opened: &life}); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("ledger %s: %w", path, err)
+	}
+	for serial := range st.open { // serials go on, so that none comes twice
+		l.serial.Store(max(l.serial.Load(), serial))
+	}
+	l.serial.Store(max(l.serial.Load(), st.life.Incarnation<<40))
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop = stop
+	go l.run(ctx)
+	return l, nil
+}
+
+// freshTx is the newest transaction of a file that the store has only just made.
+const freshTx = 1
+
+// load opens a file and adds up what is in it.
+func load(path string, o Options, readOnly bool) (*bolt.DB, *state, error) {
+	if readOnly {
+		if _, err := os.Stat(path); err != nil {
+			return nil, nil, fmt.Errorf("ledger: %w", err)
+		}
+	}
+	var db *bolt.DB
+	err := guarded(func() (err error) {
+		db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: max(o.Limits.LockWait, time.Millisecond), ReadOnly: readOnly})
+		return err
+	})
+	switch {
+	case errors.Is(err, bolt.ErrTimeout):
+		return nil, nil, fmt.Errorf("ledger %s: %w", path, ErrInUse)
+	case err != nil:
+		return nil, nil, fmt.Errorf("ledger %s: %w", path, err)
+	}
+	var st *state
+	err = guarded(func() error {
+		return db.View(func(tx *bolt.Tx) error {
+			var err error
+			st, err = read(tx, o)
+			return err
+		})
+	})
+	if err == nil && !readOnly {
+		err = db.Update(func(tx *bolt.Tx) error {
+			meta, err := tx.CreateBucketIfNotExists(bucketMeta)
+			if err != nil {
+				return err
+			}
+			if _, err := tx.CreateBucketIfNotExists(bucketRecords); err != nil {
+				return err
+			}
+			return meta.Put(keyVersion, []byte{Version})
+		})
+	}
+	if err != nil {
+		db.Close()
+		return nil, nil, fmt.Errorf("ledger %s: %w", path, err)
+	}
+	return db, st, nil
+}
+
+// guarded reads what may be torn. Danger: the store maps the file; a page behind the end of a file that was cut is a
+// fault, and pages of noise make it panic.
+func guarded(do func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: unreadable pages: %v", errBroken, p)
+		}
+	}()
+	return do()
+}
+
+// read adds up the newest snapshot and the records after it, and checks each of them.
+func read(tx *bolt.Tx, o Options) (*state, error) {
+	st := &state{open: map[uint64]Use{}}
+	var err error
+	if st.book, err = accounts.New(o.Accounts, o.Now()); err != nil {
+		return nil, err
+	}
+	meta, records := tx.Bucket(bucketMeta), tx.Bucket(bucketRecords)
+	if meta == nil || records == nil {
+		// Danger: a file that was cut shows as one without buckets, and would pass for a new one.
+		if tx.ID() > freshTx {
+			return nil, fmt.Errorf("%w: the file holds no ledger; it was cut, or is another program's", errBroken)
+		}
+		return st, nil // new
+	}
+	if v := meta.Get(keyVersion); len(v) != 1 || v[0] > Version {
+		return nil, fmt.Errorf("%w: %v, this program knows %d", ErrNewer, v, Version)
+	}
+	if err := st.restore(meta.Get(keySnapshot)); err != nil {
+		return nil, err
+	}
+	return st, st.replay(records)
+}
+
+// restore begins from a snapshot; nil is none.
+func (s *state) restore(data []byte) error {
+	if data == nil {
+		s.book.Restore(accounts.State{})
+		return nil
+	}
+	snap, err := unseal(data)
+	if err != nil {
+		return err
+	}
+	s.sequence, s.last, s.life = snap.Sequence, snap.Last, snap.Life
+	for _, u := range snap.Open {
+		s.open[u.Serial] = u
+	}
+	s.book.Restore(snap.Book)
+	return nil
+}
+
+// replay applies all records after the state's own.
+func (s *state) replay(records *bolt.Bucket) error {
+	c := records.Cursor()
+	for k, v := c.Seek(key(s.sequence + 1)); k != nil; k, v = c.Next() {
+		if string(k) != string(key(s.sequence+1)) {
+			return fmt.Errorf("entry %d: %w: it is missing", s.sequence+1, errBroken)
+		}
+		r, err := decode(v, s.sequence+1, s.last)
+		if err != nil {
+			return err
+		}
+		if err := s.apply(r, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Count makes a use durable before its answer goes out, and gives the serial to confirm it by. Where the disk fails,
+// the error is ErrIll.
+func (l *Ledger) Count(ctx context.Context, u accounts.Use) (uint64, error) {
+	use := &Use{Serial: l.serial.Add(1), At: l.o.Now().UnixNano(), Use: u}
+	return use.Serial, l.submit(ctx, item{use: use, ready: make(chan error, 1)})
+}
+
+// Confirm tells that the answer's last byte was written. It does not wait for the disk: a crash before it is durable
+// leaves the use among the unconfirmed.
+func (l *Ledger) Confirm(serial uint64) {
+	select {
+	case l.work <- item{confirmed: serial}:
+	case <-l.done:
+	}
+}
+
+// Correct enters a correction; a repeat of its key changes nothing.
+func (l *Ledger) Correct(ctx context.Context, n accounts.Note) error {
+	return l.submit(ctx, item{note: &n, ready: make(chan error, 1)})
+}
+
+func (l *Ledger) submit(ctx context.Context, it item) error {
+	select {
+	case l.work <- it:
+	case <-l.done:
+		return ErrIll
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-it.ready:
+		return err
+	case <-l.done:
+		return ErrIll
+	case <-ctx.Done(): // it may become durable all the same: it is unconfirmed then
+		return ctx.Err()
+	}
+}
+
+// Ill tells what the disk failed with last; nil: it does not.
+func (l *Ledger) Ill() error {
+	if p := l.ill.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// run writes what waits, in groups: while one is on its way to the disk, the next gathers.
+func (l *Ledger) run(ctx context.Context) {
+	defer close(l.done)
+	probe := time.NewTicker(l.o.Limits.Probe)
+	defer probe.Stop()
+	for {
+		select {
+		case it := <-l.work:
+			l.group(it)
+		case <-probe.C: // nobody may be let in to find out that the disk is well again
+			if l.Ill() != nil {
+				_ = l.write(l.withOwed(Record{})) // that it may fail is known
+			}
+		case <-ctx.Done():
+			for { // what was handed over is written
+				select {
+				case it := <-l.work:
+					l.group(it)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+// group gathers what waits into one record, and writes it. A correction has a record of its own: one that can't be
+// entered must not fail the uses beside it.
+func (l *Ledger) group(first item) {
+	if first.note != nil {
+		first.ready <- l.write(Record{Note: first.note})
+		return
+	}
+	var r Record
+	var waiting []chan error
+	var note *item
+	for it, more := first, true; more; {
+		switch {
+		case it.note != nil:
+			note, more = &it, false
+			continue
+		case it.use != nil:
+			r.Uses, waiting = append(r.Uses, *it.use), append(waiting, it.ready)
+		default:
+			r.Confirmed = append(r.Confirmed, it.confirmed)
+		}
+		if more = len(r.Uses)+len(r.Confirmed) < l.o.Limits.Group; !more {
+			continue
+		}
+		select {
+		case it = <-l.work:
+		default:
+			more = false
+		}
+	}
+	err := l.write(l.withOwed(r))
+	for _, ready := range waiting {
+		ready <- err
+	}
+	if note != nil {
+		l.group(*note)
+	}
+}
+
+// withOwed adds the confirmations of groups that the disk did not take.
+func (l *Ledger) withOwed(r Record) Record {
+	r.Confirmed = append(l.owed, r.Confirmed...)
+	l.owed = nil
+	return r
+}
+
+// write makes a record durable, then applies it. A snapshot goes with it where one is due.
+func (l *Ledger) write(r Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// A group that failed confirmed uses in vain: they stay open.
+	r.Confirmed = slices.DeleteFunc(r.Confirmed, func(serial uint64) bool {
+		_, open := l.state.open[serial]
+		return !open && !slices.ContainsFunc(r.Uses, func(u Use) bool { return u.Serial == serial })
+	})
+	r.Sequence, r.Before, r.At = l.state.sequence+1, l.state.last, l.o.Now().UnixNano()
+	if r.Note != nil { // judged before it is written: a record that can't be applied would break the file
+		probe := accounts.Book{}
+		if b, err := accounts.New(l.o.Accounts, time.Unix(0, r.At)); err == nil {
+			probe = *b
+		}
+		probe.Restore(l.state.book.State())
+		if _, err := probe.Correct(time.Unix(0, r.At), *r.Note); err != nil {
+			return err
+		}
+	}
+	data, err := cbor.Marshal(r)
+	if err == nil {
+		err = l.commit(func(tx *bolt.Tx) error { return tx.Bucket(bucketRecords).Put(key(r.Sequence), data) })
+	}
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrIll, err)
+		l.ill.Store(&err)
+		for _, serial := range r.Confirmed { // what the failed group itself holds never became open
+			if _, open := l.state.open[serial]; open {
+				l.owed = append(l.owed, serial)
+			}
+		}
+		return err
+	}
+	l.ill.Store(nil)
+	l.syncs.Add(1)
+	if err := l.state.apply(r, data); err != nil {
+		return err
+	}
+	if l.state.sequence%l.o.Limits.SnapshotEvery == 0 {
+		if err := l.snapshot(); err != nil {
+			err = fmt.Errorf("%w: snapshot: %w", ErrIll, err)
+			l.ill.Store(&err)
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) commit(do func(*bolt.Tx) error) error {
+	if l.o.commit != nil {
+		return l.o.commit(l.db, do)
+	}
+	return l.db.Update(do)
+}
+
+// snapshot writes the state, and drops the records that the snapshot before this one covers.
+func (l *Ledger) snapshot() error {
+	s := l.state
+	snap := snapshot{Sequence: s.sequence, Last: s.last, Book: s.book.State(), Open: unconfirmed(s), Life: s.life}
+	data, err := snap.sealed()
+	if err != nil {
+		return err
+	}
+	return l.commit(func(tx *bolt.Tx) error {
+		meta, records := tx.Bucket(bucketMeta), tx.Bucket(bucketRecords)
+		if was := meta.Get(keySnapshot); was != nil {
+			earlier, err := unseal(was)
+			if err != nil {
+				return err
+			}
+			if err := meta.Put(keyEarlier, slices.Clone(was)); err != nil {
+				return err
+			}
+			c := records.Cursor()
+			for k, _ := c.First(); k != nil && string(k) <= string(key(earlier.Sequence)); k, _ = c.Next() {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+		}
+		return meta.Put(keySnapshot, data)
+	})
+}
+
+func unconfirmed(s *state) []Use {
+	return slices.SortedFunc(maps.Values(s.open), func(a, b Use) int { return cmp.Compare(a.Serial, b.Serial) })
+}
+
+// Close writes what waits, and closes the file.
+func (l *Ledger) Close() error {
+	l.stop()
+	<-l.done
+	if err := l.db.Close(); err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	return nil
+}
+
+// View is what a ledger says.
+type View struct {
+	Life        Opening
+	Entries     uint64
+	Statements  []accounts.Statement
+	Unconfirmed []Use // open at a crash, or in flight now
+}
+
+// View sums up an open ledger.
+func (l *Ledger) View() View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return view(l.state)
+}
+
+func view(s *state) View {
+	v := View{Life: s.life, Entries: s.sequence, Unconfirmed: unconfirmed(s)}
+	for _, p := range s.book.Periods() {
+		v.Statements = append(v.Statements, s.book.Statement(p))
+	}
+	return v
+}
+
+// Show reads a file that no process has open for writing.
+func Show(path string, o Options) (View, error) {
+	db, st, err := load(path, o, true)
+	if err != nil {
+		return View{}, err
+	}
+	defer db.Close()
+	return view(st), nil
+}
+
+// Verify checks all that a file holds, from the earlier of its snapshots on: hashes, sequence, and that the newer
+// snapshot is what its records add up to. It names the first entry that is wrong.
+func Verify(path string, o Options) (entries uint64, err error) {
+	db, newest, err := load(path, o, true)
+	if err != nil {
+		return 0, err
+	}
+	defer db.Close()
+	err = guarded(func() error {
+		return db.View(func(tx *bolt.Tx) error {
+			meta, records := tx.Bucket(bucketMeta), tx.Bucket(bucketRecords)
+			if meta == nil || records == nil {
+				return nil
+			}
+			st := &state{open: map[uint64]Use{}}
+			if st.book, err = accounts.New(o.Accounts, o.Now()); err != nil {
+				return err
+			}
+			if err := st.restore(meta.Get(keyEarlier)); err != nil {
+				return err
+			}
+			if err := st.replay(records); err != nil {
+				return err
+			}
+			if st.sequence != newest.sequence || st.last != newest.last || fmt.Sprint(st.book.State()) != fmt.Sprint(newest.book.State()) ||
+				fmt.Sprint(unconfirmed(st)) != fmt.Sprint(unconfirmed(newest)) {
+				return fmt.Errorf("snapshot: %w: its records add up to something else", errBroken)
+			}
+			entries = st.sequence
+			return nil
+		})
+	})
+	if err != nil {
+		return 0, fmt.Errorf("ledger %s: %w", path, err)
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,441 @@
+package ledger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	bolt "go.etcd.io/bbolt"
+	"go.uber.org/goleak"
+
+	"merlinarch/internal/decide/accounts"
+	"merlinarch/internal/testwait"
+)
+
+// TestMain also plays the process that tests kill.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("LEDGER_VICTIM"); path != "" {
+		victim(path)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func options() Options {
+	o := Options{Instance: "n0", Now: time.Now, Limits: DefaultLimits(), Accounts: accounts.Settings{Period: time.Hour,
+		Grace: time.Minute, Tenants: []string{"a", "b"}, Classes: []string{"read"}}}
+	o.Limits.LockWait = 50 * time.Millisecond
+	return o
+}
+
+func open(t *testing.T, path string, o Options) *Ledger {
+	t.Helper()
+	l, err := Open(path, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func count(t *testing.T, l *Ledger, tenant string) uint64 {
+	t.Helper()
+	serial, err := l.Count(context.Background(), accounts.Use{Tenant: tenant, Class: "read", Attempts: 1, Worth: 1e6})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serial
+}
+
+func requests(v View) (n int64) {
+	for _, s := range v.Statements {
+		for _, l := range s.Lines {
+			n += l.Corrected.Requests
+		}
+	}
+	return n
+}
+
+// A use counts once it is confirmed; until then it is told apart, also after a restart.
+func TestConfirmedAndNot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	l := open(t, path, options())
+	one := count(t, l, "a")
+	two := count(t, l, "b")
+	l.Confirm(one)
+	testwait.Until(t, "the confirmation", func() bool { return requests(l.View()) == 1 })
+	if v := l.View(); len(v.Unconfirmed) != 1 || v.Unconfirmed[0].Serial != two {
+		t.Errorf("%+v", v)
+	}
+	if _, err := Open(path, options()); !errors.Is(err, ErrInUse) {
+		t.Errorf("a second process: %v", err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Count(context.Background(), accounts.Use{}); !errors.Is(err, ErrIll) {
+		t.Errorf("after the end: %v", err)
+	}
+	l = open(t, path, options())
+	defer l.Close()
+	if v := l.View(); requests(v) != 1 || len(v.Unconfirmed) != 1 || v.Life.Incarnation != 2 {
+		t.Errorf("%+v", v)
+	}
+	if again := count(t, l, "a"); again <= two {
+		t.Errorf("serial %d after %d", again, two)
+	}
+}
+
+// victim answers requests as a router does, and tells on standard output what its clients have received.
+func victim(path string) {
+	l, err := Open(path, options())
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	var mu sync.Mutex
+	for range 8 {
+		go func() {
+			for {
+				serial, err := l.Count(context.Background(), accounts.Use{Tenant: "a", Class: "read"})
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				os.Stdout.WriteString(strconv.FormatUint(serial, 10) + "\n") // the client has it
+				mu.Unlock()
+				l.Confirm(serial)
+			}
+		}()
+	}
+	select {}
+}
+
+// Through kills at any moment, all that a client has received is counted or listed as unconfirmed, once, and what more
+// is counted is no more than was in flight.
+func TestKilled(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	received := map[uint64]bool{}
+	kills := 12
+	for kill := range kills {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "LEDGER_VICTIM="+path)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		stop := time.AfterFunc(time.Duration(60+17*kill)*time.Millisecond, func() { cmd.Process.Kill() })
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			n, err := strconv.ParseUint(lines.Text(), 10, 64)
+			if err != nil {
+				continue // the last line, cut off
+			}
+			if received[n] {
+				t.Errorf("serial %d came twice", n)
+			}
+			received[n] = true
+		}
+		cmd.Wait()
+		stop.Stop()
+	}
+	v, err := Show(path, options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted, open := requests(v), len(v.Unconfirmed)
+	if len(received) == 0 {
+		t.Fatal("nothing was answered")
+	}
+	if total := counted + int64(open); total < int64(len(received)) || total > int64(len(received)+8*kills) {
+		t.Errorf("%d received; %d counted, %d unconfirmed", len(received), counted, open)
+	}
+	if counted > int64(len(received)) {
+		t.Errorf("%d confirmed of %d received", counted, len(received))
+	}
+	if n, err := Verify(path, options()); err != nil || n == 0 {
+		t.Errorf("%d %v", n, err)
+	}
+}
+
+// A changed, lost or reordered entry is found and named.
+func TestVerifyFindsDamage(t *testing.T) {
+	fill := func(path string) {
+		l := open(t, path, options())
+		for range 6 {
+			l.Confirm(count(t, l, "a"))
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	change := func(path string, do func(*bolt.Bucket) error) {
+		db, err := bolt.Open(path, 0o600, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := db.Update(func(tx *bolt.Tx) error { return do(tx.Bucket(bucketRecords)) }); err != nil {
+			t.Fatal(err)
+		}
+		db.Close()
+	}
+	for name, do := range map[string]func(*bolt.Bucket) error{
+		"changed": func(b *bolt.Bucket) error {
+			var r Record
+			if err := cbor.Unmarshal(b.Get(key(3)), &r); err != nil {
+				return err
+			}
+			r.At++
+			data, err := cbor.Marshal(r)
+			if err != nil {
+				return err
+			}
+			return b.Put(key(3), data) // 3 itself still follows 2; 4 does not follow it any more
+		},
+		"lost": func(b *bolt.Bucket) error { return b.Delete(key(4)) },
+		"reordered": func(b *bolt.Bucket) error {
+			x, y := bytes.Clone(b.Get(key(4))), bytes.Clone(b.Get(key(5)))
+			if err := b.Put(key(4), y); err != nil {
+				return err
+			}
+			return b.Put(key(5), x)
+		},
+	} {
+		path := filepath.Join(t.TempDir(), "l")
+		fill(path)
+		if _, err := Verify(path, options()); err != nil {
+			t.Fatal(err)
+		}
+		change(path, do)
+		_, err := Verify(path, options())
+		if !errors.Is(err, errBroken) || !strings.Contains(err.Error(), "entry 4") {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := Open(path, options()); !errors.Is(err, errBroken) {
+			t.Errorf("%s: opened: %v", name, err)
+		}
+	}
+}
+
+// A flipped bit in a record, wherever it is, is found; a file cut anywhere is an error and no crash.
+func TestFlippedAndTorn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	l := open(t, path, options())
+	for range 3 {
+		l.Confirm(count(t, l, "a"))
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var record []byte
+	db, err := bolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := db.View(func(tx *bolt.Tx) error {
+		record = bytes.Clone(tx.Bucket(bucketRecords).Get(key(2)))
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	db.Close()
+	broken := filepath.Join(t.TempDir(), "b")
+	for i := range record {
+		data := bytes.Clone(whole)
+		for at, n := bytes.Index(data, record), 0; at >= 0; n++ { // older copies stand in free pages
+			data[at+i] ^= 1 << (i % 8)
+			at = bytes.Index(data, record)
+			if n > 20 {
+				break
+			}
+		}
+		if err := os.WriteFile(broken, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Verify(broken, options()); err == nil {
+			t.Errorf("byte %d of %d: not found", i, len(record))
+		}
+	}
+	all, err := Show(path, options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for n := 0; n < len(whole); n += 509 {
+		if err := os.WriteFile(broken, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		// All that counts may lie before the cut; but what passes for good has to be all of it.
+		entries, err := Verify(broken, options())
+		if v, e := Show(broken, options()); err == nil && n > 0 && (e != nil || entries != all.Entries || requests(v) != 3) {
+			t.Errorf("cut at %d of %d: %d entries, %v, %+v", n, len(whole), entries, e, v)
+		}
+		if err != nil {
+			found++
+		}
+	}
+	if found < 10 {
+		t.Errorf("%d cuts found", found)
+	}
+}
+
+func TestNewerVersion(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	if err := open(t, path, options()).Close(); err != nil {
+		t.Fatal(err)
+	}
+	db, err := bolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyVersion, []byte{Version + 1}) })
+	db.Close()
+	if _, err := Open(path, options()); !errors.Is(err, ErrNewer) {
+		t.Errorf("%v", err)
+	}
+	if _, err := Show(path+".none", options()); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("%v", err)
+	}
+}
+
+// A disk that fails in the middle: those who wait are told, nothing is half counted, and it goes on once it is well.
+func TestDiskFails(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	full := errors.New("no space left on device")
+	var fails atomic.Bool
+	o := options()
+	o.Limits.Probe = 5 * time.Millisecond
+	o.commit = func(db *bolt.DB, do func(*bolt.Tx) error) error {
+		return db.Update(func(tx *bolt.Tx) error {
+			if err := do(tx); err != nil || !fails.Load() {
+				return err
+			}
+			return full // after the write, as a full disk does at the commit
+		})
+	}
+	l := open(t, path, o)
+	l.Confirm(count(t, l, "a"))
+	fails.Store(true)
+	serial, err := l.Count(context.Background(), accounts.Use{Tenant: "a", Class: "read"})
+	if !errors.Is(err, ErrIll) || !errors.Is(err, full) || l.Ill() == nil {
+		t.Errorf("%v, ill %v", err, l.Ill())
+	}
+	l.Confirm(serial) // its answer went out all the same
+	fails.Store(false)
+	testwait.Until(t, "the ledger to be well", func() bool { return l.Ill() == nil })
+	l.Confirm(count(t, l, "b"))
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	v, err := Show(path, options())
+	if err != nil || requests(v) != 2 || len(v.Unconfirmed) != 0 {
+		t.Errorf("%v %+v", err, v)
+	}
+	if _, err := Verify(path, options()); err != nil {
+		t.Error(err)
+	}
+}
+
+// Snapshots bound the file and the restart, and change nothing of what it says.
+func TestSnapshots(t *testing.T) {
+	views := map[uint64]View{}
+	for _, every := range []uint64{4, 1 << 40} {
+		path := filepath.Join(t.TempDir(), "l")
+		now := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+		o := options()
+		o.Limits.SnapshotEvery = every
+		var mu sync.Mutex
+		o.Now = func() time.Time { mu.Lock(); defer mu.Unlock(); now = now.Add(time.Minute); return now }
+		l := open(t, path, o)
+		for i := range 40 {
+			if serial := count(t, l, []string{"a", "b", "c"}[i%3]); i%5 > 0 {
+				l.Confirm(serial)
+			}
+			for len(l.work) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		if err := l.Correct(context.Background(), accounts.Note{Key: "k", For: o.Accounts.At(now), Account: accounts.Account{Tenant: "a",
+			Class: "read"}, Sum: accounts.Sum{Requests: -1}, Reason: "r", Author: "o"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Correct(context.Background(), accounts.Note{Key: "", Reason: "r"}); !errors.Is(err, accounts.ErrKey) {
+			t.Errorf("a bad correction: %v", err)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		v, err := Show(path, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		views[every] = v
+		n, err := Verify(path, o)
+		if err != nil || n != v.Entries {
+			t.Errorf("%d entries of %d, %v", n, v.Entries, err)
+		}
+		db, err := bolt.Open(path, 0o600, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		db.View(func(tx *bolt.Tx) error {
+			if kept := tx.Bucket(bucketRecords).Stats().KeyN; every == 4 && kept > 12 || every != 4 && kept < 40 {
+				t.Errorf("every %d: %d records kept", every, kept)
+			}
+			return nil
+		})
+		db.Close()
+	}
+	a, b := views[4], views[1<<40]
+	if requests(a) != requests(b) || len(a.Unconfirmed) != len(b.Unconfirmed) || requests(a) != 31 || len(a.Unconfirmed) != 8 {
+		t.Errorf("%d and %d requests, %d and %d unconfirmed", requests(a), requests(b), len(a.Unconfirmed), len(b.Unconfirmed))
+	}
+}
+
+// BenchmarkCount is a use made durable and confirmed, by many at a time: what groups save shows in syncs.
+func BenchmarkCount(b *testing.B) {
+	for _, clients := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("clients=%d", clients), func(b *testing.B) {
+			l, err := Open(filepath.Join(b.TempDir(), "l"), options())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			var work sync.WaitGroup
+			var next atomic.Int64
+			b.ResetTimer()
+			for range clients {
+				work.Go(func() {
+					for next.Add(1) <= int64(b.N) {
+						serial, err := l.Count(context.Background(), accounts.Use{Tenant: "a", Class: "read", Attempts: 1})
+						if err != nil {
+							b.Error(err)
+							return
+						}
+						l.Confirm(serial)
+					}
+				})
+			}
+			work.Wait()
+			b.ReportMetric(float64(l.syncs.Load())/float64(b.N), "syncs/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,137 @@
+// Package ledger keeps a router's accounts on disk: records in groups, each hashed over the one before it, in an
+// embedded store. What a client received is counted after a crash: the use is durable before the answer's first byte
+// is written, and confirmed once its last byte was. What was not confirmed by then is listed apart. It decides
+// nothing: package accounts does.
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"merlinarch/internal/decide/accounts"
+)
+
+// Version of the store's form. A store of a newer one is refused.
+const Version = 1
+
+// Record is one group of what happened, as it stands on the disk.
+type Record struct {
+	Sequence  uint64         `cbor:"1,keyasint"`
+	Before    [32]byte       `cbor:"2,keyasint"` // hash of the record before
+	At        int64          `cbor:"3,keyasint"` // Unix time, nanoseconds
+	Uses      []Use          `cbor:"4,keyasint,omitempty"`
+	Confirmed []uint64       `cbor:"5,keyasint,omitempty"` // serials of uses
+	Note      *accounts.Note `cbor:"6,keyasint,omitempty"`
+	Opened    *Opening       `cbor:"7,keyasint,omitempty"`
+}
+
+// Opening begins a life of an instance.
+type Opening struct {
+	Instance    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// Use is one answer that may go out now.
+type Use struct {
+	Serial uint64       `cbor:"1,keyasint"`
+	At     int64        `cbor:"2,keyasint"` // Unix time, nanoseconds
+	Use    accounts.Use `cbor:"3,keyasint"`
+}
+
+// hash covers a record as it is stored.
+func hash(data []byte) [32]byte { return sha256.Sum256(data) }
+
+// key sorts records by their numbers.
+func key(sequence uint64) []byte { return binary.BigEndian.AppendUint64(nil, sequence) }
+
+// errBroken is what a record is that does not follow from the one before.
+var errBroken = errors.New("the chain is broken")
+
+// decode reads a record that has to follow another.
+func decode(data []byte, sequence uint64, before [32]byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("entry %d: %w: %w", sequence, errBroken, err)
+	}
+	switch {
+	case r.Sequence != sequence:
+		return r, fmt.Errorf("entry %d: %w: it says that it is %d", sequence, errBroken, r.Sequence)
+	case r.Before != before:
+		return r, fmt.Errorf("entry %d: %w: the one before it is not the one that it followed", sequence, errBroken)
+	}
+	return r, nil
+}
+
+// state is what records add up to. Applying the same records in order gives the same state.
+type state struct {
+	book     *accounts.Book
+	sequence uint64 // of the last record
+	last     [32]byte
+	open     map[uint64]Use // not confirmed
+	life     Opening
+}
+
+// apply adds a record. Danger: nothing here may depend on anything but the record and what came before it.
+func (s *state) apply(r Record, data []byte) error {
+	s.sequence, s.last = r.Sequence, hash(data)
+	s.book.Close(time.Unix(0, r.At))
+	if r.Opened != nil {
+		s.life = *r.Opened
+	}
+	for _, u := range r.Uses {
+		s.open[u.Serial] = u
+	}
+	for _, serial := range r.Confirmed {
+		u, ok := s.open[serial]
+		if !ok {
+			return fmt.Errorf("entry %d: %w: it confirms %d, which is not open", r.Sequence, errBroken, serial)
+		}
+		delete(s.open, serial)
+		s.book.Add(time.Unix(0, u.At), u.Use)
+	}
+	if r.Note != nil {
+		if _, err := s.book.Correct(time.Unix(0, r.At), *r.Note); err != nil {
+			return fmt.Errorf("entry %d: %w", r.Sequence, err)
+		}
+	}
+	return nil
+}
+
+// snapshot is a state at rest: a restart begins from it.
+type snapshot struct {
+	Sequence uint64         `cbor:"1,keyasint"`
+	Last     [32]byte       `cbor:"2,keyasint"`
+	Book     accounts.State `cbor:"3,keyasint"`
+	Open     []Use          `cbor:"4,keyasint"`
+	Life     Opening        `cbor:"5,keyasint"`
+	Sum      [32]byte       `cbor:"6,keyasint"` // over all of the above
+}
+
+// sealed is a snapshot's bytes with the hash over them in place.
+func (s snapshot) sealed() ([]byte, error) {
+	s.Sum = [32]byte{}
+	data, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	s.Sum = hash(data)
+	return cbor.Marshal(s)
+}
+
+// unseal reads a snapshot and checks it.
+func unseal(data []byte) (snapshot, error) {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return s, fmt.Errorf("snapshot: %w: %w", errBroken, err)
+	}
+	again, err := s.sealed()
+	if err != nil || string(again) != string(data) {
+		return s, fmt.Errorf("snapshot: %w: it is not what was written", errBroken)
+	}
+	return s, nil
+}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"merlinarch/internal/template"
+	"merlinarch/internal/template/jsonnet"
 )
 
 // Span is a least and a most, between which values are drawn evenly; a single value is told twice.
@@ -221,7 +222,7 @@
 
 // Load reads a script; sets changes values first, by path.
 func Load(path string, sets map[string]any) (Script, error) {
-	object, err := template.Load(path)
+	object, err := jsonnet.Load(path)
 	if err != nil {
 		return Script{}, err
 	}
@@ -230,7 +231,7 @@
 
 // Parse reads a script's text.
 func Parse(name, text string) (Script, error) {
-	object, err := template.Parse(name, text)
+	object, err := jsonnet.Parse(name, text)
 	if err != nil {
 		return Script{}, err
 	}
--- a/internal/template/template.go
+++ b/internal/template/template.go
@@ -1,6 +1,6 @@
-// Package template reads the project's own files of settings: Jsonnet, of which plain JSON is a part, decoded
-// whole into a Go value. A name that the value does not have, and a value of another kind, are errors that name
-// the file and the path in it.
+// Package template decodes the project's own files of settings whole into a Go value. A name that the value does not
+// have, and a value of another kind, are errors that name the file and the path in it. Package jsonnet below it
+// evaluates templates; its library takes 2 MB at rest, so a router does not link it.
 package template
 
 import (
@@ -8,26 +8,16 @@
 	"errors"
 	"fmt"
 	"math"
-	"os"
 	"reflect"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-viper/mapstructure/v2"
-	"github.com/google/go-jsonnet"
 )
 
 // Tag is the struct tag that names a field in files.
 const Tag = "json"
 
-// maxFile bounds a file's size in bytes; maxStack the depth of its calls. Danger: a file that builds itself
-// without end takes all the memory.
-const (
-	maxFile  = 1 << 20
-	maxStack = 200
-)
-
 // Error is one thing wrong with a file.
 type Error struct {
 	File, Path, Text string // Path is empty where the file as a whole is meant
@@ -40,41 +30,11 @@
 	return fmt.Sprintf("%s: %s: %s", e.File, e.Path, e.Text)
 }
 
-// Load evaluates a file to JSON's objects; imports are resolved beside it.
-func Load(path string) (map[string]any, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, &Error{File: path, Text: errors.Unwrap(err).Error()}
-	}
-	if info.IsDir() || info.Size() > maxFile {
-		return nil, &Error{File: path, Text: fmt.Sprintf("expected a file of at most %d bytes", maxFile)}
-	}
-	vm := jsonnet.MakeVM()
-	vm.MaxStack = maxStack
-	text, err := vm.EvaluateFile(path)
-	return object(path, text, err)
-}
-
-// Parse evaluates a text as Load does a file; imports are refused.
-func Parse(name, text string) (map[string]any, error) {
-	if len(text) > maxFile {
-		return nil, &Error{File: name, Text: fmt.Sprintf("expected at most %d bytes", maxFile)}
-	}
-	vm := jsonnet.MakeVM()
-	vm.MaxStack = maxStack
-	vm.Importer(&jsonnet.MemoryImporter{})
-	out, err := vm.EvaluateAnonymousSnippet(name, text)
-	return object(name, out, err)
-}
-
-func object(file, text string, err error) (map[string]any, error) {
-	if err != nil {
-		line, _, _ := strings.Cut(err.Error(), "\n")
-		return nil, &Error{File: file, Text: "not Jsonnet: " + strings.TrimPrefix(line, "RUNTIME ERROR: ")}
-	}
+// Object reads the text of plain JSON; the name stands for it in errors.
+func Object(file, text string) (map[string]any, error) {
 	var v any
 	if err := json.Unmarshal([]byte(text), &v); err != nil {
-		return nil, &Error{File: file, Text: err.Error()}
+		return nil, &Error{File: file, Text: "not JSON: " + err.Error()}
 	}
 	m, ok := v.(map[string]any)
 	if !ok {
