--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// The same play on every machine: the outcomes of one, without the module, whose changes are none of the world's.
+func TestSameElsewhere(t *testing.T) {
+	s := load(t, "minute", map[string]any{"routers.policy": "least", "seed": 7.0})
+	const want = "b147055ce917e9ac1aa1477624848772893efe1844d21f9bd3d16ac2c6df775d"
+	if r := run(t, s); r.Outcomes != want {
+		t.Errorf("outcomes %s, want %s: the world has changed, or depends on the machine", r.Outcomes, want)
+	}
+}
+
 // The module keeps every rule on the shipped scripts; docs/rehearsal.md has more seeds.
 func TestModuleKeepsRules(t *testing.T) {
 	for _, name := range shipped {
