--- a/internal/decide/accounts/accounts.go
+++ b/internal/decide/accounts/accounts.go
@@ -252,9 +252,3 @@
 	})
 	return st
 }
-
-// Forget drops closed periods before one; their statements must have been exported.
-func (b *Book) Forget(before Period) {
-	maps.DeleteFunc(b.pages, func(p Period, _ *page) bool { return p < min(before, b.open) })
-	maps.DeleteFunc(b.keys, func(_ string, n Note) bool { return n.In < min(before, b.open) })
-}
