--- /dev/null
+++ b/cmd/merlinarch/linking_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"debug/elf"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// dynamic tells what keeps a program from being linked dynamically against the C library; nil: nothing.
+func dynamic(path string) error {
+	f, err := elf.Open(path)
+	if err != nil {
+		return fmt.Errorf("build it first, as the README says: %w", err)
+	}
+	defer f.Close()
+	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		return errors.New("no interpreter: statically linked")
+	}
+	needed, err := f.ImportedLibraries()
+	if err != nil {
+		return fmt.Errorf("needed libraries: %w", err)
+	}
+	if !slices.ContainsFunc(needed, func(name string) bool { return strings.HasPrefix(name, "libc.so.") }) {
+		return fmt.Errorf("needs %v, not the C library", needed)
+	}
+	return nil
+}
+
+// Danger: the users' bench loads a library of its own into each router; a static program takes none in and runs past
+// the bench's clock. Plain `go build` links this one statically, since nothing in it needs C.
+func TestRouterIsLinkedDynamically(t *testing.T) {
+	if err := dynamic("../../bin/merlinarch"); err != nil {
+		t.Error(err)
+	}
+	dir := t.TempDir()
+	source, static := filepath.Join(dir, "main.go"), filepath.Join(dir, "static")
+	if err := os.WriteFile(source, []byte("package main\n\nfunc main() {}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("go", "build", "-o", static, source)
+	build.Env = append(os.Environ(), "CGO_ENABLED=0")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	if dynamic(static) == nil {
+		t.Error("a static program passes")
+	}
+}
+
+// The router that is tested is the router that is deployed: all ways to build it link alike.
+func TestAllBuildsLinkAlike(t *testing.T) {
+	const command = "CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/..."
+	for _, path := range []string{"../../deploy/balancer.toml", "../../Makefile", "../../test.sh"} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(string(text), command) {
+			t.Errorf("%s does not build with %q", path, command)
+		}
+	}
+}
