--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -16,6 +16,7 @@
 
 	"merlinarch/internal/clients"
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/pace"
 	"merlinarch/internal/discovery"
 	"merlinarch/internal/features"
 	"merlinarch/internal/gateway"
@@ -79,7 +80,7 @@
 	if others != nil {
 		work.Go(func() { others.Run(ctx, gw) })
 	}
-	watcher := discovery.New(c.Discovery, c.Limits, clock, gw, count, log)
+	watcher := discovery.New(c.Discovery, pace.OfDiscovery(c.Settings, c.Seed), c.Limits, clock, gw, count, log)
 	if c.Known != nil { // the module's first event is the list, the next the platform's news
 		if err := watcher.Known(c.Known); err != nil {
 			log.Warn("starting without a list", zap.Error(err))
@@ -87,7 +88,7 @@
 	}
 	var desk *platform.Client
 	if c.Platform != "" {
-		desk = platform.New(c.Platform, c.Limits, gw, count, log)
+		desk = platform.New(c.Platform, pace.OfPlatform(c.Seed), c.Limits, gw, count, log)
 		parts.Platform = desk
 		if news, err := platform.DecodeNews(c.News); err == nil {
 			gw.Released(news)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -51,8 +51,6 @@
 	ListSilence  time.Duration // a watch of discovery silent for longer is broken
 	NewsSilence  time.Duration // a connection to the platform silent for longer is broken
 	VoteTimeout  time.Duration // a vote unanswered for longer may count
-	RetryFirst   time.Duration // pause before connecting anew, then twice, ...
-	RetryLast    time.Duration
 	MoveGrace    time.Duration // after a new address, what waits on a connection to the old one has this long
 	DrainTaking  time.Duration // after SIGTERM: go on as before
 	DrainClosing time.Duration // then end connections between requests until this
@@ -101,7 +99,7 @@
 		ServerSettle: 2 * time.Millisecond, AnswerWhole: 400 * time.Millisecond,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
-		VoteTimeout: s.Rollout.VoteTimeout, RetryFirst: 100 * time.Millisecond, RetryLast: 2 * time.Second,
+		VoteTimeout: s.Rollout.VoteTimeout,
 		MoveGrace:   1500 * time.Millisecond,
 		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/pace"
 	"merlinarch/internal/follow"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/metrics"
@@ -38,14 +39,15 @@
 	count  *metrics.Registry
 	client http.Client
 
-	mu   sync.Mutex // held while a list is handed on, so that lists keep their order
-	held uint64     // the version of the list that was known at start; 0: none
+	mu    sync.Mutex // held while a list is handed on, so that lists keep their order
+	held  uint64     // the version of the list that was known at start
+	known bool       // there was one; its version may well be 0
 }
 
 // New makes a watcher; Run starts it.
-func New(addr string, limits config.Limits, clock gateway.Clock, sink Sink, count *metrics.Registry,
+func New(addr string, rule pace.Rule, limits config.Limits, clock gateway.Clock, sink Sink, count *metrics.Registry,
 	log *zap.Logger) *Watcher {
-	return &Watcher{Follower: follow.New("discovery", addr, limits, sink.ListingFailed, count, log),
+	return &Watcher{Follower: follow.New("discovery", addr, rule, limits, sink.ListingFailed, count, log),
 		limits: limits, clock: clock, sink: sink, count: count,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 }
@@ -57,7 +59,7 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	l.Full = true
-	w.held = l.Version
+	w.held, w.known = l.Version, true
 	w.take(l)
 	return nil
 }
@@ -72,10 +74,10 @@
 // Run follows discovery until ctx ends. The router serves on with what it has while discovery is down, and with
 // what an earlier address tells until the present one has given its list.
 func (w *Watcher) Run(ctx context.Context) {
-	held := w.held // of the first address alone: another's versions may count otherwise
+	known := w.known // at the first address alone: another's versions may count otherwise
 	w.Follower.Run(ctx, func() follow.Session {
-		f := &feed{w: w, version: held, held: held > 0}
-		held = 0
+		f := &feed{w: w, version: w.held, held: known}
+		known = false
 		return f.watch
 	})
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/pace"
 	"merlinarch/internal/metrics"
-	"merlinarch/internal/retry"
 )
 
 // Session holds one connection to a peer until it breaks or ctx ends.
@@ -22,6 +22,7 @@
 type Follower struct {
 	name   string // of the peer, in the log and in counters
 	addr   string // the first address
+	rule   pace.Rule
 	limits config.Limits
 	lost   func() // told once in a row of failures
 	count  *metrics.Registry
@@ -33,8 +34,9 @@
 }
 
 // New makes a follower; Run starts it.
-func New(name, addr string, limits config.Limits, lost func(), count *metrics.Registry, log *zap.Logger) *Follower {
-	return &Follower{name: name, addr: addr, limits: limits, lost: lost, count: count, log: log,
+func New(name, addr string, rule pace.Rule, limits config.Limits, lost func(), count *metrics.Registry,
+	log *zap.Logger) *Follower {
+	return &Follower{name: name, addr: addr, rule: rule, limits: limits, lost: lost, count: count, log: log,
 		moves: make(chan string, 1)}
 }
 
@@ -43,7 +45,7 @@
 	Addr string
 
 	of       *Follower
-	backoff  *retry.Backoff
+	pace     *pace.Pace
 	spoken   bool            // it has brought news; guarded by of.mu
 	replaced context.Context // ends once a later place has brought news
 	replace  context.CancelFunc
@@ -73,7 +75,7 @@
 			earlier.replace()
 		}
 	}
-	if p.backoff.Succeeded() && newest {
+	if p.pace.Succeeded() && newest {
 		p.of.log.Info(p.of.name + " is back")
 	}
 	return p.replaced.Err() == nil
@@ -117,12 +119,13 @@
 // begin adds a place. Those before it have a while to finish what waits on them. Danger: the old address is
 // soon closed, but until the new one has spoken its news are the only ones.
 func (f *Follower) begin(ctx context.Context, addr string) (*Place, context.Context) {
-	p := &Place{Addr: addr, of: f, backoff: retry.New(f.limits.RetryFirst, f.limits.RetryLast)}
+	p := &Place{Addr: addr, of: f}
 	here, stop := context.WithCancel(ctx)
 	p.stop = stop
 	p.replaced, p.replace = context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	p.pace = pace.New(f.rule, len(f.places) > 0)
 	for _, earlier := range f.places {
 		time.AfterFunc(f.limits.MoveGrace, earlier.stop)
 	}
@@ -143,16 +146,44 @@
 
 // hold connects to a place again and again, until ctx ends or a later place has come.
 func (f *Follower) hold(ctx context.Context, p *Place, session Session) {
+	wait(ctx, p.begin())
 	for ctx.Err() == nil && p.Newest() {
 		err := session(ctx, p)
 		if ctx.Err() != nil || !p.Newest() {
 			return
 		}
 		f.count.Inc(f.name + ".broken")
-		if p.backoff.Failed() {
+		pause, first := p.failed()
+		if first {
 			f.log.Warn(f.name+" lost, going on with what it told last", zap.Error(err))
 			f.lost()
 		}
-		p.backoff.Wait(ctx)
+		wait(ctx, pause)
+	}
+}
+
+// begin and failed ask the place's pace, which Spoke is told to as well, maybe from another goroutine.
+func (p *Place) begin() time.Duration {
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	return p.pace.Begin()
+}
+
+func (p *Place) failed() (pause time.Duration, first bool) {
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	return p.pace.Failed()
+}
+
+// wait pauses, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/pace"
 	"merlinarch/internal/follow"
 	"merlinarch/internal/metrics"
 	"merlinarch/logic"
@@ -55,8 +56,9 @@
 }
 
 // New makes a client; Run starts it.
-func New(addr string, limits config.Limits, sink Sink, count *metrics.Registry, log *zap.Logger) *Client {
-	return &Client{Follower: follow.New("platform", addr, limits, func() {}, count, log), limits: limits, sink: sink,
+func New(addr string, rule pace.Rule, limits config.Limits, sink Sink, count *metrics.Registry,
+	log *zap.Logger) *Client {
+	return &Client{Follower: follow.New("platform", addr, rule, limits, func() {}, count, log), limits: limits, sink: sink,
 		count: count, votes: make(chan logic.Vote, limits.MaxOutgoing)}
 }
 
