--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,8 @@
 	suspectChance = 0.01                   // a run of failures less likely than this makes a server suspect
 	suspectFirst  = 500 * time.Millisecond // it is left alone this long, then twice, ... up to 16 times
 	failsLeast    = 0.05                   // the least part of failures that counts as usual
+	illLeast      = 3.0                    // failures that any routers saw at a server, for it to stand out
+	illFade       = 0.975                  // of them, each tick: they count for about 2 s
 
 	coldPart     = 0.85 // part of a cold server's fall budget that all routers together may use
 	carriedOver  = 10.0 // seconds over which the rate of served requests is smoothed
@@ -69,6 +71,8 @@
 	guardEvery  = time.Second     // pause between the guards' tests
 	guardErrors = 4               // fewer errors than this say nothing
 	guardMargin = 0.003           // more errors than this, beyond the old build's, are harm
+	spanLength  = time.Second     // the builds' errors are compared within spans of it
+	spanFaith   = 5.0             // all earlier answers of the old build weigh as much as so many of the span
 	loneFit     = 0.67            // with this part of its build's hosts fit, a failing host stands alone
 	slowPart    = 0.75            // of the answers before a trial were faster than the mark
 	marksLeast  = 4               // answers that make a mark
@@ -137,6 +141,9 @@
 		blend(&t.rate, step, t.came/tickEvery.Seconds())
 		t.came = 0
 	}
+	for _, s := range r.list {
+		s.ill *= illFade
+	}
 	r.overdue()
 	r.gate = r.coldGate(r.base)
 	r.adjustLimit()
@@ -165,7 +172,7 @@
 		case have == nil:
 			r.servers[entry.ID] = &server{Server: entry}
 		case have.Build != entry.Build || have.Started != entry.Started: // restarted: its past is void
-			have.fails, have.pause, have.until, have.spent, have.Server = 0, 0, 0, 0, entry
+			have.health, have.spent, have.Server = health{}, 0, entry
 		default:
 			have.State, have.Weight = entry.State, entry.Weight
 			continue
@@ -240,6 +247,31 @@
 	}
 }
 
+// ailing notes a failure that this router or another has seen. Danger: a router of a large fleet meets a
+// server seldom; when it has learnt for itself that one fails, each of the others has too, at a request of
+// its own. One that stands out from its build is left alone by all, each for a time of its own, else they
+// would all come back at once. It hurts where chance makes a sound server stand out; if all of a build fail,
+// none does.
+func (r *Router) ailing(s *server) {
+	s.ill++
+	s.failed++
+	g := r.groupOf(s.Build)
+	if s.shun > r.now || !r.standsOut(s) || float64(r.fitOf(g)) < loneFit*float64(len(g.all)) {
+		return
+	}
+	s.shunFor = min(max(2*s.shunFor, suspectFirst), 16*suspectFirst)
+	s.shun = r.now + s.shunFor/2 + time.Duration(r.rng.Int64N(int64(s.shunFor)))
+}
+
+// standsOut tells that so many failures of late at a server are unlikely, as often as its build's fail.
+func (r *Router) standsOut(s *server) bool {
+	g, sum := r.groupOf(s.Build), 0.0
+	for _, other := range g.all {
+		sum += other.ill
+	}
+	return s.ill >= illLeast && tail(sum/float64(max(1, len(g.all))), uint32(s.ill)) < suspectChance
+}
+
 // ---- Builds and exposure ----
 
 // trialCap is the cap and stage that bind for a build that is not released.
@@ -330,7 +362,7 @@
 		return 1
 	}
 	for _, s := range r.trial.all {
-		if s.until <= r.now && r.coldRoom(s, false) { // else the few warm ones would get the others' part
+		if s.fit(r.now) && r.coldRoom(s, false) { // else the few warm ones would get the others' part
 			fresh += r.ramp(s)
 		}
 	}
@@ -376,7 +408,7 @@
 // otherwise: routers that see nothing in flight would together all prefer the largest and warmest.
 func (r *Router) throw(servers []*server, q *request, suspects bool) *server {
 	usable := func(s *server) bool {
-		well := s != q.server && s.until <= r.now
+		well := s != q.server && s.fit(r.now)
 		let := r.ramp(s) >= 1 || q.luck < r.gate || q.draw && r.onTrial(s.Build) // through the gate
 		return (well || suspects) && let && r.repeatOK(q, s) && r.coldRoom(s, false)
 	}
@@ -581,12 +613,18 @@
 	blend(&r.failing, symptomStep/4, float64(count(e.Outcome == TimedOut || e.Outcome == ServerError)))
 	switch e.Outcome {
 	case OK:
-		s.fails, s.pause, s.until = 0, 0, 0
+		if s.fails, s.pause, s.until = 0, 0, 0; s.shun > 0 && !r.standsOut(s) {
+			s.shun, s.shunFor = 0, 0
+		}
 	case ConnectFailed, Reset, Rejected:
 		r.blame(s, true)
 	case TimedOut, ServerError:
 		r.blame(s, false)
 	}
+	if e.Outcome == ConnectFailed || e.Outcome == Reset || e.Outcome == TimedOut || e.Outcome == ServerError {
+		r.ailing(s)
+		s.tell = true
+	}
 	if q.sentTrial && len(r.base.all) > 0 {
 		return
 	}
@@ -776,23 +814,35 @@
 	return time.Duration(float64(bytes) / max(0.1, each*r.rate) * 1e9)
 }
 
-// share tells all peers what is in flight if that is paid for while fresh; it forgets what silent ones have.
+// share tells all peers what is in flight, and where attempts have failed, if that is paid for while fresh;
+// if not, only the failures, which are few and dear to learn. It forgets what silent peers have in flight.
 func (r *Router) share() {
 	if r.now < r.shareAt {
 		return
 	}
-	m := InFlight{}
+	all, failed := InFlight{}, InFlight{}
 	for _, s := range r.list {
-		if s.inFlight > 0 {
-			m = append(m, BusyServer{shortID(s.ID), s.inFlight})
+		if s.inFlight > 0 || s.tell {
+			all = append(all, BusyServer{shortID(s.ID), s.inFlight, s.tell})
 		}
+		if s.tell {
+			failed = append(failed, BusyServer{Server: shortID(s.ID), Failed: true})
+		}
+	}
+	price := func(m InFlight) time.Duration {
+		return max(r.paid((busyHead+len(m.Encode()))*(r.s.Peers-1), busyBytes), busyLife/10)
 	}
-	data := m.Encode()
-	period := max(r.paid((busyHead+len(data))*(r.s.Peers-1), busyBytes), busyLife/10)
-	if r.alone = period > busyLife; !r.alone {
-		r.do(Post{Peer: -1, Data: data})
+	period := price(all)
+	if r.alone = period > busyLife; r.alone {
+		all, period = failed, price(failed)*time.Duration(count(len(failed) > 0))
 	}
-	r.shareAt = r.now + min(period, busyLife)
+	if !r.alone || len(failed) > 0 {
+		r.do(Post{Peer: -1, Data: all.Encode()})
+		for _, s := range r.list {
+			s.tell = false
+		}
+	}
+	r.shareAt = r.now + period
 	for peer, t := range r.told {
 		if len(t.busy) > 0 && r.now > t.at+busyLife {
 			r.countBusy(t.busy, -1)
@@ -810,6 +860,11 @@
 		r.countBusy(r.told[e.From].busy, -1)
 		r.countBusy(busy, 1)
 		r.told[e.From] = told{busy, r.now}
+		for _, b := range busy {
+			if s := r.short[b.Server]; s != nil && b.Failed {
+				r.ailing(s)
+			}
+		}
 		return
 	}
 	m, err := DecodeReport(e.Data)
@@ -914,6 +969,13 @@
 			r.usual = max(r.demand, 0.01) * float64(count(known))
 			r.setMarks()
 			r.forgetBuilds()
+			for _, s := range r.list {
+				s.failed = 0
+			}
+			r.spans = spans{until: r.now}
+			if !known { // what the others counted before this start comes in a heap
+				r.spans = spans{until: r.now + 8*reportEvery, skip: true}
+			}
 		}
 		r.counts, r.vote, r.stageAt = Counts{}, voteState{}, r.now-e.Age
 		clear(r.seen)
@@ -931,6 +993,10 @@
 	}
 	v := &r.vote
 	stage, total := r.pooled()
+	if r.now >= r.spans.until {
+		r.spans.end(total, spanFaith, r.clustering())
+		r.spans.until = r.now + spanLength
+	}
 	verdict, why := VoteNone, ""
 	if v.verdict != VoteBack && r.now >= v.guardAt {
 		v.guardAt = r.now + guardEvery/time.Duration(1+4*count(r.rel.Cap >= fleetCap)) // it goes on soon
@@ -974,13 +1040,18 @@
 // guard is the exception for builds that turn bad after their test: late, under load, for a class that was
 // closed, or by few wrong answers, of which only a part is flagged. The same walk compares errors, at less
 // than the main test's margin; the exact tail tells a few errors of few answers, where the walk can't yet:
-// healthy builds hardly ever err, so asking often costs good ones little.
-func (r *Router) guard(c Counts) bool {
-	erred, usual := c.New.Err+c.New.Wrong, c.Old.Err+c.Old.Wrong
-	most := share(usual, c.Old.N) + guardMargin
-	few := tail(float64(c.New.N)*most, erred) < level/20
-	return erred >= guardErrors && share(erred, c.New.N) > most &&
-		(few || harm(r.rng, c.Old.N, usual, c.New.N, erred, guardMargin) < level)
+// healthy builds hardly ever err, so asking often costs good ones little. Danger: a new build gets most of
+// its answers late in a trial, the old one early; when hosts begin to fail meanwhile, the sums speak against
+// the new one. So each span's errors are held against the old build's in the same span. Danger: a few sick
+// servers give most of the errors, and a build that got more of them passes for a bad one; so answers count
+// for less where the old build's servers fail unevenly. It hurts a bad build that comes amid sick servers.
+func (r *Router) guard(total Counts) bool {
+	s := r.spans
+	s.end(total, spanFaith, r.clustering())
+	rate, old, n, erred := s.rate(), s.weight(), uint32(s.n+0.5), uint32(s.erred+0.5)
+	most := rate + guardMargin
+	return erred >= guardErrors && s.erred/s.n > most && (tail(s.n*most, erred) < level/20 ||
+		harm(r.rng, uint32(old), uint32(rate*old+0.5), max(n, erred), erred, guardMargin) < level)
 }
 
 // slowed is the exception for a build that slows all servers in step with its own traffic, so that old minus
--- a/logic/report.go
+++ b/logic/report.go
@@ -32,13 +32,14 @@
 	incarnation uint32
 }
 
-// InFlight tells at which servers a router has attempts out.
+// InFlight tells at which servers a router has attempts out, and where some have failed.
 type InFlight []BusyServer
 
 // BusyServer is one of them, under its short name.
 type BusyServer struct {
 	Server   uint16
 	InFlight int
+	Failed   bool // an attempt there has failed since the last such message
 }
 
 // shortID is a server's name in messages; two servers of a fleet rarely share one.
@@ -46,9 +47,10 @@
 
 const (
 	reportVersion = 2
-	busyVersion   = 3
+	busyVersion   = 4
 	reportHead    = 12
 	busySize      = 3
+	busyFailed    = 1 << 7  // of a server's byte; the rest is how many are out
 	maxCount      = 1 << 24 // no router counts this many attempts in a trial
 	maxReport     = 256     // the longest message peers accept
 )
@@ -160,7 +162,7 @@
 	b := []byte{busyVersion}
 	for _, s := range m[:min(len(m), (maxReport-1)/busySize)] {
 		b = binary.BigEndian.AppendUint16(b, s.Server)
-		b = append(b, byte(min(s.InFlight, 255)))
+		b = append(b, byte(min(s.InFlight, busyFailed-1))|byte(count(s.Failed)*busyFailed))
 	}
 	return b
 }
@@ -172,7 +174,7 @@
 	}
 	var m InFlight
 	for b = b[1:]; len(b) > 0; b = b[busySize:] {
-		m = append(m, BusyServer{binary.BigEndian.Uint16(b), int(b[2])})
+		m = append(m, BusyServer{binary.BigEndian.Uint16(b), int(b[2] % busyFailed), b[2] >= busyFailed})
 	}
 	return m, nil
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -54,6 +54,7 @@
 	alone             bool // too many peers, or too little traffic, to tell all what is in flight
 	incarnation       uint32
 	counts, total     Counts // own, of the present stage and of the build
+	spans             spans  // of the build, over all routers
 	peers             map[peerKey]Report
 	heard             map[int]Report // the latest of each peer
 	told              map[int]told   // what peers have in flight
@@ -124,13 +125,26 @@
 
 type server struct {
 	Server
-	inFlight, fails       int           // attempts out; failures in a row
-	peerBusy              int           // attempts that peers have out there
-	pause, until, spentAt time.Duration // suspect until then; see coldRoom
-	usedAt                time.Duration // when its connections were last used; 0: never
-	spent                 float64       // cold budget used, in requests
+	health
+	inFlight int           // attempts out
+	peerBusy int           // attempts that peers have out there
+	spentAt  time.Duration // see coldRoom
+	usedAt   time.Duration // when its connections were last used; 0: never
+	spent    float64       // cold budget used, in requests
 }
 
+// health is what is believed of a server's.
+type health struct {
+	fails         int           // of this router's attempts, in a row
+	pause, until  time.Duration // suspect until then, by what this router has met
+	ill, failed   float64       // failures met by any router: of late, and since the newest build appeared
+	shunFor, shun time.Duration // left alone until then, by what all routers have met
+	tell          bool          // it has failed here since the others were told
+}
+
+// fit tells that a server is neither suspect nor left alone.
+func (h *health) fit(now time.Duration) bool { return h.until <= now && h.shun <= now }
+
 // group is the servers of one build, by id, those of them in the router's own zone, and those it keeps to.
 type group struct{ all, near, some []*server }
 
@@ -167,6 +181,52 @@
 	tested, busy bool
 }
 
+// spans adds up how the errors of a build compare with the old build's of the same short span of time.
+type spans struct {
+	until         time.Duration // the end of the open one
+	skip          bool          // it brings what was counted long before
+	before        Counts        // pooled, at its begin
+	n, erred      float64       // the new build's answers in those that have ended, and its errors; wrong ones are errors
+	usual, square float64       // what of them had erred at the old build's rate; see weight
+}
+
+// end closes a span with the counts pooled by then. All answers of the old build before it weigh as much as faith
+// of the span's, so that a span with few of them tells little by itself; each answer counts for one of so many.
+func (s *spans) end(total Counts, faith, each float64) {
+	was := s.before
+	if s.before = total; s.skip {
+		s.skip = false
+		return
+	}
+	more := func(now, then uint32) float64 { return float64(now-min(then, now)) / each }
+	n, weight := more(total.New.N, was.New.N), more(total.Old.N, was.Old.N)+faith/each
+	erred := more(total.Old.erred(), was.Old.erred()) + faith/each*share(total.Old.erred(), total.Old.N)
+	s.n += n
+	s.erred += more(total.New.erred(), was.New.erred())
+	s.usual += n * erred / weight
+	s.square += n * n / weight
+}
+
+// rate is the old build's part of errors, each span as heavy as the new build's answers in it.
+func (s *spans) rate() float64 { return s.usual / max(1e-9, s.n) }
+
+// weight is the number of answers of the old build that tells its rate as surely.
+func (s *spans) weight() float64 { return s.n * s.n / max(1e-9, s.square) }
+
+// clustering tells how many times as much the failures of the old build's servers differ as chance would have it if
+// all failed alike (the design effect): of so many failures one says something of a build.
+func (r *Router) clustering() float64 {
+	sum, square, n := 0.0, 0.0, float64(len(r.base.all))
+	for _, s := range r.base.all {
+		sum += s.failed
+		square += s.failed * s.failed
+	}
+	if n < 2 || sum == 0 {
+		return 1
+	}
+	return max(1, (square-sum*sum/n)/(sum/n)/(n-1))
+}
+
 // told is what a peer has in flight, and when that was heard.
 type told struct {
 	busy InFlight
@@ -175,6 +235,9 @@
 
 func hundredths(x float64) uint16 { return uint16(min(100*max(0, x), math.MaxUint16)) }
 
+// erred counts errors and answers found wrong.
+func (a Arm) erred() uint32 { return a.Err + a.Wrong }
+
 // share is the part that some make of all.
 func share(some, all uint32) float64 { return float64(some) / float64(max(1, all)) }
 
@@ -269,7 +332,7 @@
 // fitOf counts the servers of a group that are not suspect.
 func (r *Router) fitOf(g group) (n int) {
 	for _, s := range g.all {
-		n += int(count(s.until <= r.now))
+		n += int(count(s.fit(r.now)))
 	}
 	return n
 }
