--- a/logic/state.go
+++ b/logic/state.go
@@ -214,10 +214,15 @@
 func (s *spans) weight() float64 { return s.n * s.n / max(1e-9, s.square) }
 
 // clustering tells how many times as much the failures of the old build's servers differ as chance would have it if
-// all failed alike (the design effect): of so many failures one says something of a build.
+// all failed alike (the design effect): of so many failures one says something of a build. Where no old server is
+// left, the new build's tell.
 func (r *Router) clustering() float64 {
-	sum, square, n := 0.0, 0.0, float64(len(r.base.all))
-	for _, s := range r.base.all {
+	g := r.base
+	if len(g.all) == 0 {
+		g = r.trial
+	}
+	sum, square, n := 0.0, 0.0, float64(len(g.all))
+	for _, s := range g.all {
 		sum += s.failed
 		square += s.failed * s.failed
 	}
