--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,6 +42,25 @@
 	}
 }
 
+// A fleet of many hundred routers fits in a configuration: all are known, the last one too, and a wrong one is named.
+func TestManyPeers(t *testing.T) {
+	peers := make([]string, 740)
+	for i := range peers {
+		peers[i] = fmt.Sprintf("%q", fmt.Sprintf("127.%d.%d.1:7946", 3+i/250, i%250))
+	}
+	with := func() string {
+		return strings.Replace(good, `"127.3.0.1:7946","127.3.0.2:7946"`, strings.Join(peers, ","), 1)
+	}
+	c, err := Parse([]byte(with()), none)
+	if err != nil || len(c.Peers) != 740 || c.Peers[739] != "127.5.239.1:7946" {
+		t.Errorf("%d peers, %v", len(c.Peers), err)
+	}
+	peers[700] = `"nowhere"`
+	if _, err := Parse([]byte(with()), none); err == nil || !strings.Contains(err.Error(), "peers[700]") {
+		t.Errorf("a wrong peer among 740: %v", err)
+	}
+}
+
 func TestEnvironmentComesFirst(t *testing.T) {
 	env := map[string]string{"LB_NAME": "other", "LB_LISTEN": "127.0.0.9:1", "LB_DISCOVERY": "127.0.0.9:2"}
 	c, err := Parse([]byte(good), func(k string) string { return env[k] })
--- a/internal/settings/encode.go
+++ b/internal/settings/encode.go
@@ -47,7 +47,7 @@
 	}
 	return map[string]any{"me": s.Self, "peers_total": s.Peers, "zone": s.Zone, "registry_mode": mode,
 		"tick_ms": ms(s.Tick), "over_share_worth": s.OverShare, "classes": classes, "orgs": tenants,
-		"deductions":    map[string]any{"cross_zone": s.CrossZoneCost},
+		"deductions":    map[string]any{"cross_zone": s.CrossZoneCost, "handshake": s.HandshakeCost},
 		"client_habits": map[string]any{"marks_retry": s.MarksRetry},
 		"caps": map[string]any{"max_attempts": s.MaxAttempts, "max_open": s.MaxOpen,
 			"max_retry_after_ms": ms(s.MaxRetryAfter), "probes": s.CanProbe, "peers": s.CanPost, "cancel": s.CanCancel,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,7 +38,8 @@
 		Tick: ms("tick_ms"), DrainGrace: ms("rules", "drain_grace_ms"), ColdFrom: v.GetFloat64("rules", "cold_from"),
 		ColdTime: ms("rules", "cold_ms"), FallMultiple: v.GetFloat64("rules", "fall_multiple"),
 		FallTime: ms("rules", "fall_ms"), CrossZoneCost: v.GetFloat64("deductions", "cross_zone"),
-		OverShare: v.GetFloat64("over_share_worth"), ConnIdle: ms("caps", "conn_idle_ms"),
+		HandshakeCost: v.GetFloat64("deductions", "handshake"),
+		OverShare:     v.GetFloat64("over_share_worth"), ConnIdle: ms("caps", "conn_idle_ms"),
 		Rollout: logic.Rollout{
 			StageShare: floats("family_info", "steps"), StageCap: floats("family_info", "exposure_caps"),
 			Window: ms("family_info", "exposure_window_ms"), Free: v.GetFloat64("family_info", "free"),
--- a/logic/api.go
+++ b/logic/api.go
@@ -95,6 +95,7 @@
 	FallMultiple  float64
 	FallTime      time.Duration
 	CrossZoneCost float64 // price of a request that crosses zones
+	HandshakeCost float64 // price of a new connection for each request
 	OverShare     float64 // worth of a request beyond its tenant's share
 }
 
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -185,3 +186,149 @@
 		}
 	}
 }
+
+// Danger: datagrams arrive spoilt, late, or from routers that are no more; none may change what a router does, crash it
+// or leave something behind for good.
+func TestSpoiltMessagesOfManyPeersLeaveNothing(t *testing.T) {
+	set := testSettings()
+	set.Peers = 300
+	g := ready(t, set, host(1), host(2))
+	g.release(2, 1, OnTrial, 0.4)
+	rng := rand.New(rand.NewPCG(1, 2))
+	good := [][]byte{Report{Build: 2, Stage: 1, Counts: harmless, Total: harmless}.Encode(),
+		InFlight{{Server: 1, InFlight: 3}, {Server: 2, Failed: true}}.Encode()}
+	for i := range 60_000 {
+		data := slices.Clone(good[i%2])
+		switch i % 5 {
+		case 0: // a life that never was
+			data = Report{Incarnation: rng.Uint32(), Build: 2, Stage: 1, Counts: harmless, Total: harmless}.Encode()
+		case 1:
+			data[rng.IntN(len(data))] ^= byte(1 + rng.IntN(255))
+		case 2:
+			data = data[:rng.IntN(len(data))]
+		case 3: // of a build long gone
+			data = Report{Incarnation: 7, Build: 1, Stage: 2, Counts: failing, Total: failing}.Encode()
+		}
+		g.feed(PeerMessage{From: rng.IntN(400) - 50, Data: data})
+	}
+	r := g.r
+	if len(r.peers) > 5000 || len(r.heard) > set.Peers || len(r.told) > set.Peers {
+		t.Errorf("kept of 300 peers: %d lives, %d reports, %d lists of attempts", len(r.peers), len(r.heard), len(r.told))
+	}
+	g.pass(3 * time.Second)
+	for id, s := range r.servers {
+		if s.peerBusy != 0 {
+			t.Errorf("server %d is held busy by %d attempts that nobody told of for 3 s", id, s.peerBusy)
+		}
+	}
+	g.release(3, 0, OnTrial, 0.1)
+	for k, m := range r.peers {
+		if m.Build < 3 {
+			t.Fatalf("a report of build %d from %+v is kept", m.Build, k)
+		}
+	}
+	if n := len(g.arrive("after", "read", time.Second)); n != 1 {
+		t.Errorf("a request after it: %d sends", n)
+	}
+}
+
+// Forty-five minutes of steady work among 300 routers, with a new build every five and hosts under new ids: nothing that
+// is kept grows with time.
+func TestSteadyWorkKeepsNothing(t *testing.T) {
+	set := testSettings()
+	set.Peers, set.Rollout.ForwardOnly = 300, true
+	g := newRig(t, set, 3)
+	sizes := func() (n int) {
+		r := g.r
+		return len(r.servers) + len(r.short) + len(r.list) + len(r.reqs) + len(r.waiting) + len(r.peers) + len(r.heard) +
+			len(r.told) + len(r.budgets) + len(r.bad) + len(r.seen) + len(r.lives)
+	}
+	at := map[int]int{}
+	for minute := range 45 {
+		b := BuildID(minute/5 + 1)
+		servers := make([]Server, 20)
+		for i := range servers {
+			servers[i] = host(1000*minute/5+i+1, build(b))
+		}
+		g.feed(ServersListed{Full: true, Servers: servers})
+		g.release(b, 2, Released, 1)
+		for second := range 60 {
+			for i := range 10 {
+				id := fmt.Sprintf("m%ds%di%d", minute, second, i)
+				for _, s := range slices.Clone(g.arrive(id, "read", time.Second)) {
+					g.end(s, OK)
+				}
+			}
+			g.feed(PeerMessage{From: 1 + (60*minute+second)%299, Data: InFlight{{Server: 1, InFlight: 1}}.Encode()})
+			c := Counts{Old: Arm{N: uint32(second)}}
+			g.feed(PeerMessage{From: 1 + second, Data: Report{Incarnation: uint32(minute), Build: b, Stage: 2, Counts: c,
+				Total: c}.Encode()})
+			g.pass(time.Second)
+			g.sends, g.posts, g.lines = nil, nil, nil
+			clear(g.finals)
+			clear(g.attempt)
+		}
+		at[minute] = sizes()
+	}
+	if at[44] > at[9]+at[9]/4+300 { // each of 300 peers has told by then
+		t.Errorf("kept after 10 and 45 minutes: %d and %d", at[9], at[44])
+	}
+}
+
+// Danger: while the platform answers that it is full, three voters that come again at once would keep it so.
+func TestBusyPlatformIsAskedSeldom(t *testing.T) {
+	g := voter(t)
+	g.pass(100 * ms)
+	g.feed(ServersListed{Servers: []Server{host(2, build(2))}})
+	g.hearCounts(g.peer(), 5, 0, harmless)
+	asked := 0
+	for range 200 { // 10 s
+		g.pass(50 * ms)
+		if len(g.votes) > asked {
+			asked = len(g.votes)
+			g.feed(ReleaseStatus{IsReply: true, Reply: VoteThrottled})
+		}
+	}
+	if asked < 5 || asked > 15 {
+		t.Errorf("%d votes in 10 s of a platform that is full", asked)
+	}
+	g.pass(time.Second)
+	if len(g.votes) == asked {
+		t.Fatal("no further vote")
+	}
+	g.feed(ReleaseStatus{IsReply: true, Reply: VoteCounts, Build: 2, Stage: 0, Phase: OnTrial, Cap: 0.1})
+	counted := len(g.votes)
+	g.pass(3 * time.Second)
+	if len(g.votes) != counted {
+		t.Errorf("%d more votes while one stands", len(g.votes)-counted)
+	}
+}
+
+// Danger: hundreds of routers each open connections to each of many hosts, which hold few, and anew after each release;
+// where the settings price a handshake highly, a router keeps to those it has, and yet no host gets more than others.
+func TestDearHandshakesAreSpared(t *testing.T) {
+	opened := map[float64]int{}
+	for _, price := range []float64{0, 0.08} {
+		f := newFleet(t, 60, 60, 60)
+		at := map[ServerID]int{}
+		for _, g := range f.rigs {
+			g.r.s.HandshakeCost = price
+		}
+		for range 6 {
+			f.second(10, func(s ServerID) Outcome { at[s]++; return OK })
+		}
+		for _, g := range f.rigs {
+			for _, s := range g.r.list {
+				opened[price] += int(count(s.usedAt > 0))
+			}
+		}
+		for s, n := range at {
+			if n > 60*2 { // 3,600 requests, 60 servers
+				t.Errorf("price %v: server %d gets %d of 3600 requests", price, s, n)
+			}
+		}
+	}
+	if opened[0.08]*5 > opened[0]*4 {
+		t.Errorf("%d connections opened where they are dear, %d where they cost nothing", opened[0.08], opened[0])
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,8 @@
 
 	fewLeast, fewWithin = 6, 3.0 // servers that a lonely router keeps to, or its requests in so many seconds
 	throws              = 6      // random draws of a server before a search
-	crossLoad           = 6.0    // attempts in flight that one point of cross-zone price is worth
+	crossLoad           = 6.0    // attempts in flight that one point of price is worth
+	dearHandshake       = 0.05   // from this price on, a draw without an open connection is made once more
 	nearLiking          = 8.0    // times the cross-zone price: the chance that one choice is a near server
 	lateSpare           = 2.0    // the trial share falls by this times the part of late answers
 	spillOver           = 1.3    // drawn requests go to the old build if new servers are so much busier
@@ -64,6 +65,7 @@
 	lateBad       = 0.2 // part of answers over lateness that cuts the limit
 	overShareEdge = 1.3 // a tenant is over its share beyond this multiple of its part
 
+	livesMost = 16          // starts of a peer during one build whose counts are kept
 	busyLife  = time.Second // attempts out that a peer told of count so long; told 10 times in it at most
 	busyBytes = 512         // bytes of such messages that a request pays for
 	busyHead  = 20          // bytes that any message costs besides its own
@@ -383,7 +385,7 @@
 	if s.Zone != r.s.Zone {
 		l += crossLoad * r.s.CrossZoneCost
 	}
-	return l
+	return l + crossLoad*r.s.HandshakeCost*float64(count(!r.connected(s)))
 }
 
 // pick makes two random choices among the usable servers of a group, one of them near, and takes the less
@@ -412,11 +414,19 @@
 		let := r.ramp(s) >= 1 || q.luck < r.gate || q.draw && r.onTrial(s.Build) // through the gate
 		return (well || suspects) && let && r.repeatOK(q, s) && r.coldRoom(s, false)
 	}
+	var unmet *server
 	for range min(throws, len(servers)) {
 		s := servers[r.rng.IntN(len(servers))]
-		if r.rng.Float64()*r.heaviest < r.capacity(s) && usable(s) {
+		if r.rng.Float64()*r.heaviest >= r.capacity(s) || !usable(s) {
+			continue
+		}
+		if unmet != nil || r.s.HandshakeCost < dearHandshake || r.connected(s) {
 			return s
 		}
+		unmet = s // Danger: each of many routers would open connections to each of many servers
+	}
+	if unmet != nil {
+		return unmet
 	}
 	from := r.rng.IntN(max(1, len(servers)))
 	for i := range servers {
@@ -526,7 +536,7 @@
 		r.mayTry(s.Build, q.class, true)
 	}
 	r.coldRoom(s, true)
-	q.connects = s.usedAt == 0 || r.now > s.usedAt+r.s.ConnIdle
+	q.connects = !r.connected(s)
 	q.idle = s.inFlight == 0 && !q.connects && r.now > s.usedAt+idleLong
 	if q.idle && r.reaped() {
 		r.do(Close{Server: s.ID})
@@ -584,6 +594,9 @@
 	r.drainQueue()
 }
 
+// connected tells that a connection to a server should be open.
+func (r *Router) connected(s *server) bool { return s.usedAt > 0 && r.now <= s.usedAt+r.s.ConnIdle }
+
 // reaped tells that idle connections are dropped unseen: much more is lost on them than on others. They are
 // closed before a send then, and silent servers show at the connect; it costs handshakes meanwhile.
 func (r *Router) reaped() bool { return r.lost[1] > lostMuch && r.lost[1] > 2*r.lost[0] }
@@ -871,7 +884,13 @@
 	if err != nil || m.Stage > len(r.s.Rollout.StageCap) {
 		return
 	}
-	if k := (peerKey{e.From, m.Incarnation}); !m.older(r.peers[k]) { // else it has come late
+	k := peerKey{e.From, m.Incarnation}
+	if _, known := r.peers[k]; !known { // Danger: spoilt messages name lives that never were, without end
+		if r.lives[e.From]++; r.lives[e.From] > livesMost {
+			return
+		}
+	}
+	if !m.older(r.peers[k]) { // else it has come late
 		r.peers[k], r.heard[e.From] = m, m
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -56,6 +56,7 @@
 	counts, total     Counts // own, of the present stage and of the build
 	spans             spans  // of the build, over all routers
 	peers             map[peerKey]Report
+	lives             map[int]int    // of each peer during this build
 	heard             map[int]Report // the latest of each peer
 	told              map[int]told   // what peers have in flight
 	voters            []int          // who votes on the present build, in order
@@ -73,6 +74,7 @@
 		seen: map[uint64]int{}, reqs: map[RequestID]*request{}, peers: map[peerKey]Report{},
 	}
 	r.incarnation, r.heard, r.told = r.rng.Uint32(), map[int]Report{}, map[int]told{}
+	r.lives = map[int]int{}
 	r.short = map[uint16]*server{}
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &class{Class: c}
@@ -302,6 +304,7 @@
 	for _, s := range r.list {
 		oldest = min(oldest, s.Build)
 	}
+	clear(r.lives)
 	maps.DeleteFunc(r.peers, func(_ peerKey, m Report) bool { return m.Build < r.rel.Build })
 	maps.DeleteFunc(r.budgets, func(k budgetKey, _ *budget) bool { return k.build < r.rel.Build })
 	maps.DeleteFunc(r.bad, func(b BuildID, _ bool) bool { return b < oldest })
