--- a/logic/logic.go
+++ b/logic/logic.go
@@ -254,11 +254,15 @@
 // its own. One that stands out from its build is left alone by all, each for a time of its own, else they
 // would all come back at once. It hurts where chance makes a sound server stand out; if all of a build fail,
 // none does.
-func (r *Router) ailing(s *server) {
+func (r *Router) ailing(s *server, erred bool) {
 	s.ill++
-	s.failed++
+	s.erred += float64(count(erred))
 	g := r.groupOf(s.Build)
-	if s.shun > r.now || !r.standsOut(s) || float64(r.fitOf(g)) < loneFit*float64(len(g.all)) {
+	if r.now > s.shun+16*suspectFirst {
+		s.shunFor = 0
+	}
+	known := s.shunFor > 0 || r.standsOut(s) // a circuit breaker: half open, one failure is enough
+	if s.shun > r.now || !known || float64(r.fitOf(g)) < loneFit*float64(len(g.all)) {
 		return
 	}
 	s.shunFor = min(max(2*s.shunFor, suspectFirst), 16*suspectFirst)
@@ -635,8 +639,8 @@
 		r.blame(s, false)
 	}
 	if e.Outcome == ConnectFailed || e.Outcome == Reset || e.Outcome == TimedOut || e.Outcome == ServerError {
-		r.ailing(s)
-		s.tell = true
+		s.failed, s.failedErr = true, s.failedErr || e.Outcome == ServerError
+		r.ailing(s, e.Outcome == ServerError)
 	}
 	if q.sentTrial && len(r.base.all) > 0 {
 		return
@@ -743,9 +747,12 @@
 	}
 	closed := r.rel.Phase == OnTrial && r.rel.Stage < r.s.Rollout.ClosedStages && c.Repeat != Safe
 	group := r.groupOf(q.to.Build)
-	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing as long as
-	// most hosts of its build are fit; and connecting is no build's doing, be it slow or in vain.
-	lone := q.server.until > r.now && float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
+	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing while most of
+	// its build are fit, and so is what it fails far more than they, if some old ones do too; a build's first
+	// hosts may stand out by the build's doing. Connecting is no build's, be it slow or in vain.
+	apart := slices.ContainsFunc(r.base.all, func(s *server) bool { return s.shun > r.now })
+	lone := (q.server.until > r.now || apart && q.server.shun > r.now) &&
+		float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
 	unheard := e.Outcome == ConnectFailed || lone || q.connects && r.connectsSlow()
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
 	if e.Outcome == Cancelled || e.Outcome == NotSent || unheard || closed || young ||
@@ -835,11 +842,11 @@
 	}
 	all, failed := InFlight{}, InFlight{}
 	for _, s := range r.list {
-		if s.inFlight > 0 || s.tell {
-			all = append(all, BusyServer{shortID(s.ID), s.inFlight, s.tell})
+		if s.inFlight > 0 || s.failed {
+			all = append(all, BusyServer{shortID(s.ID), s.inFlight, s.failed, s.failedErr})
 		}
-		if s.tell {
-			failed = append(failed, BusyServer{Server: shortID(s.ID), Failed: true})
+		if s.failed {
+			failed = append(failed, BusyServer{shortID(s.ID), 0, true, s.failedErr})
 		}
 	}
 	price := func(m InFlight) time.Duration {
@@ -852,7 +859,7 @@
 	if !r.alone || len(failed) > 0 {
 		r.do(Post{Peer: -1, Data: all.Encode()})
 		for _, s := range r.list {
-			s.tell = false
+			s.failed, s.failedErr = false, false
 		}
 	}
 	r.shareAt = r.now + period
@@ -875,7 +882,7 @@
 		r.told[e.From] = told{busy, r.now}
 		for _, b := range busy {
 			if s := r.short[b.Server]; s != nil && b.Failed {
-				r.ailing(s)
+				r.ailing(s, b.Erred)
 			}
 		}
 		return
@@ -989,7 +996,7 @@
 			r.setMarks()
 			r.forgetBuilds()
 			for _, s := range r.list {
-				s.failed = 0
+				s.erred = 0
 			}
 			r.spans = spans{until: r.now}
 			if !known { // what the others counted before this start comes in a heap
--- a/logic/report.go
+++ b/logic/report.go
@@ -40,6 +40,7 @@
 	Server   uint16
 	InFlight int
 	Failed   bool // an attempt there has failed since the last such message
+	Erred    bool // with an error
 }
 
 // shortID is a server's name in messages; two servers of a fleet rarely share one.
@@ -50,9 +51,11 @@
 	busyVersion   = 4
 	reportHead    = 12
 	busySize      = 3
-	busyFailed    = 1 << 7  // of a server's byte; the rest is how many are out
-	maxCount      = 1 << 24 // no router counts this many attempts in a trial
-	maxReport     = 256     // the longest message peers accept
+	busyFailed    = 1 << 7 // of a server's byte
+	busyErred     = 1 << 6
+	busyMost      = busyErred - 1 // attempts out, the rest of it
+	maxCount      = 1 << 24       // no router counts this many attempts in a trial
+	maxReport     = 256           // the longest message peers accept
 )
 
 var errReport = errors.New("malformed report")
@@ -162,7 +165,7 @@
 	b := []byte{busyVersion}
 	for _, s := range m[:min(len(m), (maxReport-1)/busySize)] {
 		b = binary.BigEndian.AppendUint16(b, s.Server)
-		b = append(b, byte(min(s.InFlight, busyFailed-1))|byte(count(s.Failed)*busyFailed))
+		b = append(b, byte(min(s.InFlight, busyMost))|byte(count(s.Failed)*busyFailed)|byte(count(s.Erred)*busyErred))
 	}
 	return b
 }
@@ -174,7 +177,7 @@
 	}
 	var m InFlight
 	for b = b[1:]; len(b) > 0; b = b[busySize:] {
-		m = append(m, BusyServer{binary.BigEndian.Uint16(b), int(b[2] % busyFailed), b[2] >= busyFailed})
+		m = append(m, BusyServer{binary.BigEndian.Uint16(b), int(b[2] & busyMost), b[2]&busyFailed > 0, b[2]&busyErred > 0})
 	}
 	return m, nil
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -139,9 +139,10 @@
 type health struct {
 	fails         int           // of this router's attempts, in a row
 	pause, until  time.Duration // suspect until then, by what this router has met
-	ill, failed   float64       // failures met by any router: of late, and since the newest build appeared
+	ill, erred    float64       // met by any router: failures of late; errors since the newest build appeared
 	shunFor, shun time.Duration // left alone until then, by what all routers have met
-	tell          bool          // it has failed here since the others were told
+	failed        bool          // here, since the others were told
+	failedErr     bool          // with an error
 }
 
 // fit tells that a server is neither suspect nor left alone.
@@ -215,8 +216,8 @@
 // weight is the number of answers of the old build that tells its rate as surely.
 func (s *spans) weight() float64 { return s.n * s.n / max(1e-9, s.square) }
 
-// clustering tells how many times as much the failures of the old build's servers differ as chance would have it if
-// all failed alike (the design effect): of so many failures one says something of a build. Where no old server is
+// clustering tells how many times as much the errors of the old build's servers differ as chance would have it if
+// all erred alike (the design effect): of so many errors one says something of a build. Where no old server is
 // left, the new build's tell.
 func (r *Router) clustering() float64 {
 	g := r.base
@@ -225,8 +226,8 @@
 	}
 	sum, square, n := 0.0, 0.0, float64(len(g.all))
 	for _, s := range g.all {
-		sum += s.failed
-		square += s.failed * s.failed
+		sum += s.erred
+		square += s.erred * s.erred
 	}
 	if n < 2 || sum == 0 {
 		return 1
