--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -376,3 +376,52 @@
 		t.Error("one failure long after makes it stand out")
 	}
 }
+
+// Danger: the old build's sick hosts are known and left alone when those of the new build, just started, are met for the
+// first time; what they fail until they stand out too would count against the build alone.
+func TestWhatAHostFailedIsTakenBack(t *testing.T) {
+	g := voter(t)
+	for id := 1; id <= 10; id++ {
+		g.feed(ServersListed{Servers: []Server{host(id)}})
+		g.feed(ServersListed{Servers: []Server{host(id+10, build(2))}})
+	}
+	g.release(2, 1, OnTrial, 0.4)
+	fail := func(id ServerID, n int) {
+		for range n {
+			s := g.r.servers[id]
+			q := &request{RequestArrived: RequestArrived{ID: "q", Class: "once"}, class: g.r.classes["once"], server: s,
+				to: s.Server, sentRel: g.r.rel, sentAt: g.now}
+			g.r.evidence(q, AttemptDone{Outcome: TimedOut})
+		}
+	}
+	tell := func(id ServerID) {
+		data := InFlight{{Server: shortID(id), Failed: true}}.Encode()
+		for range 5 {
+			g.feed(PeerMessage{From: g.peer(), Data: data})
+		}
+	}
+	fail(11, 4)
+	fail(12, 2)
+	tell(11)
+	if got := g.r.counts.New; got.N != 6 || got.Miss != 6 {
+		t.Errorf("%+v: a host of the new build stands out alone, which may be the build's doing", got)
+	}
+	tell(1)
+	fail(13, 3)
+	tell(13)
+	if got := g.r.counts.New; got.N != 9 || got.Miss != 6 {
+		t.Errorf("%+v: three failures of a host that stands out, as one of the old build does, stay", got)
+	}
+	if got := g.r.total.New; got.N != 9 || got.Miss != 6 {
+		t.Errorf("in all %+v", got)
+	}
+	g.release(2, 2, OnTrial, 1)
+	fail(14, 2)
+	g.r.takeBack(g.r.servers[12]) // failed in an earlier stage
+	if got := g.r.counts.New; got.N != 2 || got.Miss != 2 {
+		t.Errorf("%+v: failures of an earlier stage are taken from this one", got)
+	}
+	if got := g.r.total.New; got.Miss != 6 {
+		t.Errorf("in all %+v after failures of an earlier stage were taken back", got)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -267,6 +267,9 @@
 	}
 	s.shunFor = min(max(2*s.shunFor, suspectFirst), 16*suspectFirst)
 	s.shun = r.now + s.shunFor/2 + time.Duration(r.rng.Int64N(int64(s.shunFor)))
+	if r.apart() { // Danger: a new build's sick hosts are met anew, the old one's are left alone by then
+		r.takeBack(s)
+	}
 }
 
 // standsOut tells that so many failures of late at a server are unlikely, as often as its build's fail.
@@ -750,8 +753,7 @@
 	// Danger: one sick host passes for a bad build. What a host fails in a row is its own doing while most of
 	// its build are fit, and so is what it fails far more than they, if some old ones do too; a build's first
 	// hosts may stand out by the build's doing. Connecting is no build's, be it slow or in vain.
-	apart := slices.ContainsFunc(r.base.all, func(s *server) bool { return s.shun > r.now })
-	lone := (q.server.until > r.now || apart && q.server.shun > r.now) &&
+	lone := (q.server.until > r.now || q.server.shun > r.now && r.apart()) &&
 		float64(r.fitOf(group)) >= loneFit*float64(len(group.all))
 	unheard := e.Outcome == ConnectFailed || lone || q.connects && r.connectsSlow()
 	young := q.to.Started != 0 && q.sentAt < q.to.Started+youngServer
@@ -762,7 +764,10 @@
 	timed := c.mark > 0 && !(r.alone && q.connects) // met anew at nearly all requests
 	one := Arm{N: 1, Miss: count(e.Outcome != OK || e.Took > c.Aim), Err: count(e.Outcome == ServerError),
 		Timed: count(timed), Slow: count(timed && took > c.mark)}
-	q.first = first{one, q.to.Build, q.sentRel}
+	q.first = first{Arm: one, build: q.to.Build, rel: q.sentRel}
+	if e.Outcome != OK {
+		q.first.failed = q.server
+	}
 	if one.Err == 0 {
 		r.tally(q)
 	}
@@ -1074,7 +1079,7 @@
 func (r *Router) guard(total Counts) bool {
 	s := r.spans
 	s.end(total, spanFaith, r.clustering())
-	rate, old, n, erred := s.rate(), s.weight(), uint32(s.n+0.5), uint32(s.erred+0.5)
+	rate, old, n, erred := s.rate(), s.weight(), uint32(s.n+0.5), uint32(max(0, s.erred)+0.5)
 	most := rate + guardMargin
 	return erred >= guardErrors && s.erred/s.n > most && (tail(s.n*most, erred) < level/20 ||
 		harm(r.rng, uint32(old), uint32(rate*old+0.5), max(n, erred), erred, guardMargin) < level)
--- a/logic/state.go
+++ b/logic/state.go
@@ -121,8 +121,15 @@
 // first is what the first attempt tells of its build, kept back while a second one may tell more.
 type first struct {
 	Arm
-	build BuildID
-	rel   ReleaseStatus
+	build  BuildID
+	rel    ReleaseStatus
+	failed *server // where it failed; nil: it did not
+}
+
+// charge is what a server failed as it was counted: in one stage of a build, and in all of them.
+type charge struct {
+	rel          ReleaseStatus
+	stage, total Arm
 }
 
 type server struct {
@@ -141,6 +148,7 @@
 	pause, until  time.Duration // suspect until then, by what this router has met
 	ill, erred    float64       // met by any router: failures of late; errors since the newest build appeared
 	shunFor, shun time.Duration // left alone until then, by what all routers have met
+	charged       charge        // by this router
 	failed        bool          // here, since the others were told
 	failedErr     bool          // with an error
 }
@@ -201,7 +209,7 @@
 		s.skip = false
 		return
 	}
-	more := func(now, then uint32) float64 { return float64(now-min(then, now)) / each }
+	more := func(now, then uint32) float64 { return (float64(now) - float64(then)) / each } // some are taken back
 	n, weight := more(total.New.N, was.New.N), more(total.Old.N, was.Old.N)+faith/each
 	erred := more(total.Old.erred(), was.Old.erred()) + faith/each*share(total.Old.erred(), total.Old.N)
 	s.n += n
@@ -211,7 +219,7 @@
 }
 
 // rate is the old build's part of errors, each span as heavy as the new build's answers in it.
-func (s *spans) rate() float64 { return s.usual / max(1e-9, s.n) }
+func (s *spans) rate() float64 { return max(0, s.usual) / max(1e-9, s.n) }
 
 // weight is the number of answers of the old build that tells its rate as surely.
 func (s *spans) weight() float64 { return s.n * s.n / max(1e-9, s.square) }
@@ -292,12 +300,50 @@
 	if f.N == 0 || f.rel.Build != r.rel.Build {
 		return
 	}
+	if f.failed != nil {
+		f.failed.charge(f)
+	}
 	r.total.arm(f.build == r.rel.Build).plus(f.Arm)
 	if f.rel.Phase == r.rel.Phase && f.rel.Stage == r.rel.Stage {
 		r.counts.arm(f.build == r.rel.Build).plus(f.Arm)
 	}
 }
 
+// charge keeps what a server's failure adds to the counts.
+func (h *health) charge(f first) {
+	c := &h.charged
+	if c.rel.Build != f.rel.Build {
+		*c = charge{}
+	}
+	if c.rel.Stage != f.rel.Stage || c.rel.Phase != f.rel.Phase {
+		c.stage = Arm{}
+	}
+	c.rel = f.rel
+	failed := Arm{Miss: 1, Err: f.Err}
+	c.stage.plus(failed)
+	c.total.plus(failed)
+}
+
+// takeBack takes what a server failed out of the counts; its attempts stay in them as if they had gone well.
+func (r *Router) takeBack(s *server) {
+	c, isNew := s.charged, s.Build == r.rel.Build
+	if s.charged = (charge{}); c.rel.Build != r.rel.Build {
+		return
+	}
+	less := func(from *Arm, by Arm) {
+		from.Miss, from.Err = from.Miss-min(by.Miss, from.Miss), from.Err-min(by.Err, from.Err)
+	}
+	less(r.total.arm(isNew), c.total)
+	if c.rel.Stage == r.rel.Stage && c.rel.Phase == r.rel.Phase {
+		less(r.counts.arm(isNew), c.stage)
+	}
+}
+
+// apart tells that servers of the ordinary build stand out.
+func (r *Router) apart() bool {
+	return slices.ContainsFunc(r.base.all, func(s *server) bool { return s.shun > r.now })
+}
+
 // forgetBuilds drops what is kept of builds that can't matter any more. Danger: builds follow one another for as
 // long as the router runs, and peers restart; each would leave something behind.
 func (r *Router) forgetBuilds() {
