--- /dev/null
+++ b/cmd/merlinarch/accord.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"merlinarch/internal/accord"
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/record"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/features"
+)
+
+// printAccord tells what the settings promise.
+func printAccord(w io.Writer, a features.Accord) {
+	t := a.Terms()
+	fmt.Fprintf(w, "accord: cluster %s, %d registrars, without a lease: %s\n"+
+		"accord: D = lease / (1 - drift) + send = %v / (1 - %g) + %v = %v; a lease that nobody renews is over for certain after %v\n",
+		a.Cluster, len(a.Registrars), a.Mode, t.Length, t.Drift, t.Send, t.Bound().Round(time.Millisecond), t.Wait(t.Longest).Round(time.Millisecond))
+}
+
+// operator is what the commands that speak with the registrars have in common.
+type operator struct {
+	settings, author, reason string
+	patience                 time.Duration
+	wait, force              bool
+}
+
+func (o *operator) flags(c *cobra.Command) {
+	c.Flags().StringVar(&o.settings, "settings", "", "`FILE` of settings; its part accord names the registrars")
+	c.Flags().DurationVar(&o.patience, "patience", 30*time.Second, "how long to go on asking, and to wait")
+	c.MarkFlagRequired("settings")
+}
+
+// changing are the flags of commands that change the rules.
+func (o *operator) changing(c *cobra.Command, env func(string) string) {
+	o.flags(c)
+	c.Flags().StringVar(&o.reason, "reason", "", "why; kept in the record")
+	c.Flags().StringVar(&o.author, "author", env("USER"), "who; kept in the record")
+	c.Flags().BoolVar(&o.wait, "wait", false, "end once it is confirmed, or tell who is missing")
+	c.Flags().BoolVar(&o.force, "force", false, "also against the budget, or the last server of a class")
+	c.MarkFlagRequired("reason")
+}
+
+// begin reads the settings and makes a client. The context ends with the patience, or with a signal.
+func (o *operator) begin() (context.Context, func(), *accord.Client, string, error) {
+	f, err := features.Load(o.settings, readSettings)
+	if err != nil {
+		return nil, nil, nil, "", err
+	}
+	if !f.Accord.On() {
+		return nil, nil, nil, "", fmt.Errorf("%s: accord.cluster: expected a name", o.settings)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, cancel := context.WithTimeout(ctx, o.patience)
+	return ctx, func() { cancel(); stop() }, accord.NewClient(f.Accord.Registrars), f.Accord.Cluster, nil
+}
+
+// status asks the leader how the record stands.
+func leaderStatus(ctx context.Context, c *accord.Client) (accord.Status, error) {
+	var s accord.Status
+	if err := c.Do(ctx, accord.PathStatus, nil, &s); err != nil {
+		return s, failure{err}
+	}
+	return s, nil
+}
+
+// change asks for changes on the present version, anew where another came first.
+func (o *operator) change(ctx context.Context, c *accord.Client, cluster string, changes ...rulebook.Change) (rulebook.Answer, error) {
+	for {
+		s, err := leaderStatus(ctx, c)
+		if err != nil {
+			return rulebook.Answer{}, err
+		}
+		ask := accord.Ask{Cluster: cluster, Ask: rulebook.Ask{Key: rand.Text(), Base: s.Head.Version, Author: o.author, Reason: o.reason,
+			Forced: o.force, Changes: changes}}
+		var a rulebook.Answer
+		if err := c.Do(ctx, accord.PathAsk, ask, &a); err != nil {
+			return a, failure{err}
+		}
+		if a.Refused == rulebook.RefusedStale { // others change the rules too
+			continue
+		}
+		if a.Refused != "" {
+			return a, failure{fmt.Errorf("refused (%s): %s", a.Refused, a.Text)}
+		}
+		return a, nil
+	}
+}
+
+func cordonCommand(env func(string) string) *cobra.Command {
+	var o operator
+	var born int64
+	var expires time.Duration
+	c := &cobra.Command{Use: "cordon HOST", Short: "Close a server to new work at every dispatcher", Args: cobra.ExactArgs(1),
+		Long: `Close a server to new work at every dispatcher. It may be switched off once the cordon is confirmed: no dispatcher will
+start anything there then. Exit code 1 if it was refused, or is not confirmed in time.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop, client, cluster, err := o.begin()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			t := cordon.Target{Host: args[0]}
+			if c.Flags().Changed("born") {
+				t.Born = &born
+			}
+			a, err := o.change(ctx, client, cluster, rulebook.Change{Kind: rulebook.KindCordon, Cordon: &t, For: expires.Milliseconds()})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "cordon of %s agreed as version %d\n", t.ID(), a.Version)
+			if !o.wait {
+				return nil
+			}
+			return waitConfirmed(ctx, c.OutOrStdout(), client, t.ID())
+		}}
+	o.changing(c, env)
+	c.Flags().Int64Var(&born, "born", 0, "only the life of the server that started then (Unix time in `MS`); else any of its name")
+	c.Flags().DurationVar(&expires, "for", 0, "it expires after so long")
+	return c
+}
+
+// waitConfirmed waits until a cordon is confirmed, and tells who is missing where it is not in time.
+func waitConfirmed(ctx context.Context, out io.Writer, client *accord.Client, id string) error {
+	missing := "no leader has told how far it is"
+	for {
+		s, err := leaderStatus(ctx, client)
+		if err != nil {
+			return failure{fmt.Errorf("%s is not confirmed: %s (%w)", id, missing, err)}
+		}
+		i := slices.IndexFunc(s.Cordons, func(c record.Cordon) bool { return c.ID == id })
+		if i < 0 {
+			return failure{fmt.Errorf("%s is not cordoned any more", id)}
+		}
+		c := s.Cordons[i]
+		if c.State == cordon.Confirmed {
+			fmt.Fprintf(out, "cordon of %s confirmed: no dispatcher will start anything there%s\n", id, lapsedText(c))
+			return nil
+		}
+		missing = fmt.Sprintf("%d of %d dispatchers have taken it in, missing: %s", c.Reached, c.Of, missingText(c))
+		select {
+		case <-ctx.Done():
+			return failure{fmt.Errorf("%s is not confirmed: %s", id, missing)}
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func lapsedText(c record.Cordon) string {
+	if c.Confirmed == nil || len(c.Confirmed.Lapsed) == 0 {
+		return ""
+	}
+	return "; not heard, but without a lease: " + strings.Join(c.Confirmed.Lapsed, ", ")
+}
+
+// missingText names who may yet start something.
+func missingText(c record.Cordon) string {
+	var names []string
+	for _, m := range c.Missing {
+		switch {
+		case m.Never && m.Left <= 0:
+			names = append(names, m.Name+" (serves without a lease until it is heard, or retired by force)")
+		case m.Left > 0:
+			names = append(names, fmt.Sprintf("%s (for %v at most)", m.Name, m.Left.Round(time.Millisecond)))
+		default:
+			names = append(names, m.Name)
+		}
+	}
+	if len(names) == 0 {
+		return "none; about to be confirmed"
+	}
+	return strings.Join(names, ", ")
+}
+
+func uncordonCommand(env func(string) string) *cobra.Command {
+	var o operator
+	c := &cobra.Command{Use: "uncordon ID", Short: "End a cordon, once every dispatcher knows of it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop, client, cluster, err := o.begin()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			a, err := o.change(ctx, client, cluster, rulebook.Change{Kind: rulebook.KindLift, Name: args[0]})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "lifting of %s agreed as version %d\n", args[0], a.Version)
+			for o.wait {
+				s, err := leaderStatus(ctx, client)
+				if err != nil {
+					return err
+				}
+				if !slices.ContainsFunc(s.Cordons, func(c record.Cordon) bool { return c.ID == args[0] }) {
+					fmt.Fprintf(c.OutOrStdout(), "%s is open again\n", args[0])
+					return nil
+				}
+				select {
+				case <-ctx.Done():
+					return failure{errors.New("its lifting is not in force yet: some dispatcher holds a lease and has not heard of it")}
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+			return nil
+		}}
+	o.changing(c, env)
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	var o operator
+	var asJSON bool
+	c := &cobra.Command{Use: "status", Short: "Tell who leads, which rules hold, and whom they have reached", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop, client, _, err := o.begin()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			s, err := leaderStatus(ctx, client)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				e := json.NewEncoder(c.OutOrStdout())
+				e.SetIndent("", " ")
+				return e.Encode(s)
+			}
+			printStatus(c.OutOrStdout(), s)
+			return nil
+		}}
+	o.flags(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "the whole record")
+	return c
+}
+
+func printStatus(out io.Writer, s accord.Status) {
+	fmt.Fprintf(out, "cluster %s, version %d, leader %s in term %d, D %s\n", s.Cluster, s.Head.Version, s.Role.Name, s.Role.Term, s.Bound)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	for _, c := range s.Cordons {
+		fmt.Fprintf(w, "cordon\t%s\t%s\t%d of %d\t%s: %s", c.ID, c.State, c.Reached, c.Of, c.Author, c.Reason)
+		if c.State == cordon.Reaching {
+			fmt.Fprintf(w, "; missing: %s", missingText(c))
+		}
+		fmt.Fprintf(w, "%s\n", lapsedText(c))
+	}
+	for _, x := range s.Waiting {
+		fmt.Fprintf(w, "waits\tversion %d\t%s %s\t\t%s: %s\n", x.Version, x.Change.Kind, x.Change.Name, x.Author, x.Reason)
+	}
+	for _, d := range s.Dispatchers {
+		heard := "not heard by this leader"
+		if d.Heard {
+			heard = "heard " + d.Ago + " ago"
+		}
+		if len(d.Unknown) > 0 {
+			heard += "; does not understand " + strings.Join(d.Unknown, ", ")
+		}
+		fmt.Fprintf(w, "dispatcher\t%s\tholds %d\t%s\t%s\n", d.Name, d.Holds, d.Mode, heard)
+	}
+	for _, name := range s.Expected {
+		fmt.Fprintf(w, "expected\t%s\tnot in the record\n", name)
+	}
+}
--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -46,7 +46,8 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetArgs(twoDashes(args))
-	root.AddCommand(serveCommand(env), checkCommand(env), ledgerCommand(env), rehearseCommand(), versionCommand())
+	root.AddCommand(serveCommand(env), checkCommand(env), ledgerCommand(env), cordonCommand(env), uncordonCommand(env),
+		statusCommand(), registrarCommand(), rehearseCommand(), versionCommand())
 	err := root.Execute()
 	if err == nil {
 		return exitOK
@@ -108,10 +109,13 @@
 	var f files
 	c := &cobra.Command{Use: "check", Short: "Read the configuration and tell what is wrong with it, without serving",
 		Args: noMore, RunE: func(cmd *cobra.Command, _ []string) error {
-			c, _, err := f.load(env)
+			c, s, err := f.load(env)
 			if err != nil {
 				return err
 			}
+			if s.Accord.On() {
+				printAccord(cmd.OutOrStdout(), s.Accord)
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "configuration is good: %s listens on %s, %d classes, %d peers, room for %d requests, "+
 				"%d connections from clients, %d to hosts\n", c.Name, c.Listen, len(c.Settings.Classes), len(c.Peers),
 				c.Limits.MaxHeld, c.Limits.ClientConns, c.Limits.ServerConns)
@@ -135,19 +139,33 @@
 // holds at rest.
 const toolsProgram = "merlinarch-rehearse"
 
-func toolsPath() (string, error) {
+// registrarProgram lies beside this one too: agreement and its store take a third more.
+const registrarProgram = "merlinarch-registrar"
+
+// beside is the path of a program that lies where this one does.
+func beside(program string) (string, error) {
 	own, err := os.Executable()
 	if err != nil {
 		return "", failure{err}
 	}
-	return filepath.Join(filepath.Dir(own), toolsProgram), nil
+	return filepath.Join(filepath.Dir(own), program), nil
 }
 
 // rehearseCommand goes over to the tools' program.
 func rehearseCommand() *cobra.Command {
-	return &cobra.Command{Use: "rehearse", Short: "Practise an incident: check, run, live, sweep, compare",
+	return goesOver("rehearse", "Practise an incident: check, run, live, sweep, compare", toolsProgram)
+}
+
+// registrarCommand goes over to the registrars' program.
+func registrarCommand() *cobra.Command {
+	return goesOver("registrar", "Keep the agreed rules: init, join, run", registrarProgram)
+}
+
+// goesOver is a command that another program carries out, in this process.
+func goesOver(use, short, program string) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short,
 		DisableFlagParsing: true, RunE: func(_ *cobra.Command, args []string) error {
-			path, err := toolsPath()
+			path, err := beside(program)
 			if err != nil {
 				return err
 			}
@@ -167,7 +185,7 @@
 	if json.Valid(data) {
 		return template.Object(path, string(data))
 	}
-	tools, err := toolsPath()
+	tools, err := beside(toolsProgram)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -14,8 +14,10 @@
 
 	"go.uber.org/zap"
 
+	"merlinarch/internal/accord"
 	"merlinarch/internal/clients"
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/pace"
 	"merlinarch/internal/discovery"
 	"merlinarch/internal/features"
@@ -77,6 +79,12 @@
 	pool := servers.New(c.Limits, count)
 	parts.Servers = pool
 	var work sync.WaitGroup
+	var rules *accord.Follower
+	if f.Accord.On() {
+		rules = accord.NewFollower(followerOptions(f.Accord, c), gw, gw.UseRules(c.Settings.ColdTime), count, log)
+		pool.Gate = rules.Gate
+		work.Go(func() { rules.Run(ctx) })
+	}
 	if others != nil {
 		work.Go(func() { others.Run(ctx, gw) })
 	}
@@ -104,6 +112,9 @@
 	if book != nil {
 		front.Accounts = ledger.NewCounter(book, c.Settings, f.Ledger.OnFailure == "refuse", count, log)
 	}
+	if rules != nil {
+		front.Rules = rules.Gate
+	}
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listen) }()
 	log.Info("serving", zap.String("name", c.Name), zap.String("listen", c.Listen))
@@ -134,6 +145,12 @@
 	return err
 }
 
+// followerOptions are the accord's, for this router.
+func followerOptions(a features.Accord, c config.Config) accord.Options {
+	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.Mode),
+		Terms: a.Terms(), Clock: accord.Clock{Rate: a.ClockRate}, Seed: c.Seed, Reporting: a.Auto.Agreeing > 0}
+}
+
 // move goes over to the addresses that the configuration file names now. A file that can't be used changes nothing.
 func move(c config.Config, watcher *discovery.Watcher, desk *platform.Client, count *metrics.Registry,
 	log *zap.Logger) config.Config {
--- /dev/null
+++ b/internal/accord/client.go
@@ -0,0 +1,55 @@
+package accord
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"merlinarch/internal/decide/pace"
+)
+
+// Client asks whichever registrar leads.
+type Client struct {
+	addrs map[string]string
+	names []string
+	at    int
+	http  *http.Client
+}
+
+// NewClient makes a client of registrars, addresses by name.
+func NewClient(addrs map[string]string) *Client {
+	return &Client{addrs: addrs, names: slices.Sorted(maps.Keys(addrs)),
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
+}
+
+// Do asks until the leader has answered, or ctx ends. What is asked has to be safe to repeat.
+func (c *Client) Do(ctx context.Context, path string, in, out any) error {
+	if len(c.names) == 0 {
+		return errors.New("no registrars")
+	}
+	p := pace.New(pace.Rule{First: 50 * time.Millisecond, Last: time.Second, Seed: uint64(time.Now().UnixNano())}, false)
+	for {
+		once, stop := context.WithTimeout(ctx, 5*time.Second)
+		err := Call(once, c.http, c.addrs[c.names[c.at]], path, in, out)
+		stop()
+		var problem *Problem
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &problem) && problem.Code == CodeNotLeader && slices.Contains(c.names, problem.Leader):
+			c.at = slices.Index(c.names, problem.Leader)
+		case errors.As(err, &problem) && problem.Code != CodeBusy && problem.Code != CodeNotLeader:
+			return err
+		default:
+			c.at = (c.at + 1) % len(c.names)
+		}
+		pause, _ := p.Failed()
+		if !sleep(ctx, pause) {
+			return fmt.Errorf("%w (last: %w)", ctx.Err(), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/accord/follower.go
@@ -0,0 +1,329 @@
+package accord
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/pace"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/metrics"
+)
+
+// Options are a dispatcher's.
+type Options struct {
+	Cluster    string
+	Name       string
+	Site       string
+	Registrars map[string]string // addresses by name
+	Mode       lease.Mode
+	Terms      lease.Terms
+	Clock      Clock
+	Seed       uint64
+	Knows      []string // kinds of rules; nil: all that this program has
+	Reporting  bool     // what servers answer is told with each beat
+}
+
+// Sink is where the decisions hear of the rules.
+type Sink interface {
+	// Ruled returns once the decisions know of a version, or of another conduct; an error tells that they have ended.
+	Ruled(ctx context.Context, v *rulebook.View, c lease.Conduct) error
+}
+
+// Fleet is what the dispatcher knows of the servers, for the registrars to judge by.
+type Fleet interface {
+	// Listed is the list with a sum over it that changes when it does.
+	Listed() (servers []cordon.Server, sum string)
+	// Reports is what servers have answered of late.
+	Reports() []cordon.Report
+}
+
+// Follower is the task that owns a dispatcher's view of the record.
+type Follower struct {
+	Gate *Gate
+
+	opts   Options
+	sink   Sink
+	fleet  Fleet
+	count  *metrics.Registry
+	log    *zap.Logger
+	client *http.Client
+	names  []string // of registrars, in order
+	token  string   // of this life
+
+	news chan rulebook.Document
+
+	life     uint64
+	leader   int // index into names: whom to ask next
+	view     *rulebook.View
+	conduct  lease.Conduct
+	unknown  []string
+	wantList bool
+	spoken   string // the last trouble that was logged
+}
+
+// NewFollower makes a follower; Run starts it.
+func NewFollower(o Options, sink Sink, fleet Fleet, count *metrics.Registry, log *zap.Logger) *Follower {
+	if o.Knows == nil {
+		o.Knows = rulebook.Kinds
+	}
+	f := &Follower{Gate: NewGate(o.Mode, o.Clock, count), opts: o, sink: sink, fleet: fleet, count: count, log: log,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2,
+			IdleConnTimeout: 10 * o.Terms.Beat}},
+		names: slices.Sorted(maps.Keys(o.Registrars)), token: rand.Text(), news: make(chan rulebook.Document, 1), conduct: lease.Nothing}
+	f.leader = int(o.Seed % uint64(len(f.names)))
+	return f
+}
+
+// Run keeps the lease until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	defer f.client.CloseIdleConnections()
+	defer work.Wait()
+	// Danger: all dispatchers start in one moment after a loss of power, and each asks for a life, which costs the
+	// registrars a write to their disks. Each has a place of its own within a beat.
+	p := pace.New(pace.Rule{First: f.opts.Terms.Beat / 4, Last: f.opts.Terms.Beat, Window: 0, Seed: f.opts.Seed}, false)
+	place := time.Duration(float64(f.opts.Seed%1024) / 1024 * float64(f.opts.Terms.Beat))
+	if !sleep(ctx, place) {
+		return
+	}
+	work.Go(func() { f.watch(ctx) })
+	for ctx.Err() == nil {
+		err := f.beat(ctx)
+		pause := f.opts.Terms.Beat
+		if err == nil {
+			p.Succeeded()
+			f.trouble("")
+		} else if ctx.Err() == nil {
+			pause, _ = p.Failed()
+			f.count.Inc("accord.beats_failed")
+			f.trouble(err.Error())
+		}
+		f.rest(ctx, pause)
+	}
+}
+
+// rest waits until the next beat is due. News is taken in as it comes, and told at once; so is the end of the lease.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	next := time.NewTimer(pause)
+	defer next.Stop()
+	for {
+		f.behave(ctx)
+		lapse := time.NewTimer(time.Hour)
+		if left := f.Gate.Left(); left > 0 {
+			lapse.Reset(left + time.Millisecond)
+		}
+		select {
+		case <-ctx.Done():
+		case <-next.C:
+		case d := <-f.news:
+			f.count.Inc("accord.news")
+			if f.take(ctx, d) == nil && f.life != 0 {
+				lapse.Stop()
+				return
+			}
+		case <-lapse.C:
+			continue
+		}
+		lapse.Stop()
+		return
+	}
+}
+
+// trouble logs what is wrong once, and that it is over.
+func (f *Follower) trouble(text string) {
+	if text == f.spoken {
+		return
+	}
+	if f.spoken = text; text != "" {
+		f.log.Warn("no word from the registrars", zap.String("why", text), zap.Duration("lease_left", f.Gate.Left()))
+	} else {
+		f.log.Info("registrars answer")
+	}
+}
+
+// behave tells the decisions when what may be done has changed.
+func (f *Follower) behave(ctx context.Context) {
+	c := f.Gate.Conduct()
+	if c == f.conduct {
+		return
+	}
+	f.conduct = c
+	f.count.Inc([...]string{"accord.lease_begun", "accord.serving_stale", "accord.holding"}[c])
+	f.log.Info("conduct", zap.String("now", [...]string{"full", "stale", "nothing"}[c]), zap.Uint64("version", f.Gate.Holds()))
+	if f.view != nil {
+		f.sink.Ruled(ctx, f.view, c)
+	}
+}
+
+var (
+	errSpoiltRules  = errors.New("a document that is not what its hash says")
+	errTwoHistories = errors.New("two documents of one version: these registrars are not of one record")
+	errUnknownRules = errors.New("rules of kinds that this program does not understand")
+)
+
+// take takes a version in: first the decisions hear of it, so that they stop choosing what the gate will turn down, then
+// the gate keeps it.
+func (f *Follower) take(ctx context.Context, d rulebook.Document) error {
+	switch {
+	case !d.Genuine():
+		f.count.Inc("accord.spoilt")
+		return errSpoiltRules
+	case f.view != nil && d.Head.Version == f.view.Version() && d.Head.Hash != f.view.Document.Head.Hash:
+		f.count.Inc("accord.two_histories")
+		return errTwoHistories
+	case f.view != nil && d.Head.Version <= f.view.Version():
+		return nil
+	}
+	if f.unknown = rulebook.Unknown(d, f.opts.Knows); len(f.unknown) > 0 {
+		f.count.Inc("accord.not_understood")
+		return fmt.Errorf("%w: %v", errUnknownRules, f.unknown)
+	}
+	v := rulebook.NewView(d)
+	c := f.Gate.Conduct()
+	if err := f.sink.Ruled(ctx, v, c); err != nil {
+		return err
+	}
+	f.conduct = c
+	if err := f.Gate.Take(ctx, v); err != nil {
+		return err
+	}
+	f.view = v
+	f.count.Inc("accord.versions_taken")
+	return nil
+}
+
+// beat asks for a lease, and for a life before that.
+func (f *Follower) beat(ctx context.Context) error {
+	if f.life == 0 {
+		var e Enrolled
+		if err := f.call(ctx, PathEnrol, Enrol{Cluster: f.opts.Cluster, Name: f.opts.Name, Token: f.token, Mode: f.opts.Mode,
+			Knows: f.opts.Knows, Site: f.opts.Site, Terms: f.opts.Terms}, &e); err != nil {
+			return err
+		}
+		f.life = e.Life
+	}
+	b := Beat{Cluster: f.opts.Cluster, Name: f.opts.Name, Life: f.life, Holds: f.Gate.Holds(), Unknown: f.unknown}
+	servers, sum := f.fleet.Listed()
+	if b.List = sum; f.wantList {
+		b.Listed = servers
+	}
+	if f.opts.Reporting {
+		b.Reports = f.fleet.Reports()
+	}
+	// Danger: a lease runs from here. What the network, the registrars or a stop of this process take until the answer
+	// is read is time in which others may have agreed on something newer.
+	asked := f.opts.Clock.Now()
+	var g Granted
+	if err := f.call(ctx, PathBeat, b, &g); err != nil {
+		var p *Problem
+		if errors.As(err, &p) && p.Code == CodeLife {
+			f.life, f.token = 0, rand.Text()
+			f.count.Inc("accord.lives_replaced")
+		}
+		return err
+	}
+	f.wantList = g.WantList
+	if g.Document != nil {
+		if err := f.take(ctx, *g.Document); err != nil {
+			return err
+		}
+	}
+	if !f.Gate.Grant(asked, g.Version, time.Duration(g.LeaseNs)) {
+		return fmt.Errorf("a lease on version %d, while version %d is held", g.Version, f.Gate.Holds())
+	}
+	f.count.Inc("accord.beats")
+	if g.Document != nil { // what was taken in counts for others once it is told
+		f.behave(ctx)
+		return f.beat(ctx)
+	}
+	return nil
+}
+
+// call asks whom it takes for the leader, and learns who is.
+func (f *Follower) call(ctx context.Context, path string, in, out any) error {
+	ctx, stop := context.WithTimeout(ctx, f.opts.Terms.Beat)
+	defer stop()
+	err := Call(ctx, f.client, f.opts.Registrars[f.names[f.leader]], path, in, out)
+	var p *Problem
+	switch {
+	case err == nil:
+		if g, ok := out.(*Granted); ok && g.Cluster != f.opts.Cluster {
+			err = fmt.Errorf("%s answers for cluster %.40q", f.names[f.leader], g.Cluster)
+			f.next("")
+		}
+	case errors.As(err, &p) && p.Code == CodeNotLeader:
+		f.next(p.Leader)
+	case errors.As(err, &p) && p.Code != CodeBusy && p.Code != CodeCluster:
+	default:
+		f.next("")
+	}
+	return err
+}
+
+// next turns to another registrar: to the one of a name where that is among those that the settings have.
+func (f *Follower) next(leader string) {
+	if i := slices.Index(f.names, leader); i >= 0 && i != f.leader {
+		f.leader = i
+		return
+	}
+	f.leader = (f.leader + 1) % len(f.names)
+}
+
+// watch holds a question for news open at one registrar after another; any of them will do.
+func (f *Follower) watch(ctx context.Context) {
+	p := pace.New(pace.Rule{First: f.opts.Terms.Beat / 4, Last: 2 * f.opts.Terms.Beat, Seed: f.opts.Seed + 1}, false)
+	at, after := int(f.opts.Seed>>8%uint64(len(f.names))), uint64(0)
+	for ctx.Err() == nil {
+		query := url.Values{"cluster": {f.opts.Cluster}, "after": {strconv.FormatUint(after, 10)}}
+		var n News
+		waiting, stop := context.WithTimeout(ctx, WatchFor+2*f.opts.Terms.Beat)
+		err := Call(waiting, f.client, f.opts.Registrars[f.names[at]], PathWatch+"?"+query.Encode(), nil, &n)
+		stop()
+		if err == nil && n.Cluster != f.opts.Cluster {
+			err = errTwoHistories
+		}
+		if err != nil {
+			at = (at + 1) % len(f.names)
+			pause, _ := p.Failed()
+			sleep(ctx, pause)
+			continue
+		}
+		p.Succeeded()
+		if n.Document == nil || n.Document.Head.Version <= after {
+			continue
+		}
+		after = n.Document.Head.Version
+		select {
+		case f.news <- *n.Document:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// WatchFor is how long a registrar holds a watch open while there is no news.
+const WatchFor = 10 * time.Second
+
+// sleep waits, and tells whether ctx still stands.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/accord/gate.go
@@ -0,0 +1,167 @@
+package accord
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/metrics"
+)
+
+// Reasons why an attempt may not start.
+var (
+	ErrNoLease  = errors.New("no lease on the rules stands")
+	ErrCordoned = errors.New("the server is cordoned")
+)
+
+// Gate is what every attempt passes right before its bytes go out. Its methods are safe for use by several goroutines.
+type Gate struct {
+	clock Clock
+	count *metrics.Registry
+
+	mu     sync.Mutex
+	holder lease.Holder
+	view   *rulebook.View // nil: none has been taken in
+	passes map[*Pass]struct{}
+	empty  chan struct{} // closed when an older version's last pass has ended; nil: nobody waits
+}
+
+// NewGate makes a closed gate.
+func NewGate(mode lease.Mode, clock Clock, count *metrics.Registry) *Gate {
+	return &Gate{clock: clock, count: count, holder: lease.Holder{Mode: mode}, passes: map[*Pass]struct{}{}}
+}
+
+// Pass lets one attempt's bytes go out, piece by piece.
+type Pass struct {
+	gate    *Gate
+	host    string
+	born    int64
+	version uint64 // under which it began
+	abort   func()
+}
+
+// Begin lets an attempt to one life of a server start, or tells why it may not. abort breaks off its writing; it is
+// called when a version comes that forbids what is still being written. End has to follow.
+func (g *Gate) Begin(host string, born int64, abort func()) (*Pass, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.allows(host, born); err != nil {
+		return nil, err
+	}
+	p := &Pass{gate: g, host: host, born: born, version: g.view.Version(), abort: abort}
+	g.passes[p] = struct{}{}
+	return p, nil
+}
+
+// allows is called under the lock. The clock is read here, at the last moment: the process may have stood still since
+// the attempt was decided, or since it got its connection.
+func (g *Gate) allows(host string, born int64) error {
+	if g.view == nil || g.holder.Conduct(g.clock.Now()) == lease.Nothing {
+		g.count.Inc("accord.held_back")
+		return ErrNoLease
+	}
+	if !g.view.Open(host, born) {
+		g.count.Inc("accord.cordoned")
+		return ErrCordoned
+	}
+	return nil
+}
+
+// Still tells whether the rest of an attempt may go out. Danger: a host begins on a request with its last byte; one that
+// was half sent when the process stood still must not be completed by it when it wakes.
+func (p *Pass) Still() error {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	return p.gate.allows(p.host, p.born)
+}
+
+// End tells that nothing more of the attempt will be written.
+func (p *Pass) End() {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.passes, p)
+	g.wake()
+}
+
+// wake is called under the lock: it tells Take when the last pass of an older version has ended.
+func (g *Gate) wake() {
+	if g.empty == nil || g.view == nil {
+		return
+	}
+	for p := range g.passes {
+		if p.version < g.view.Version() {
+			return
+		}
+	}
+	close(g.empty)
+	g.empty = nil
+}
+
+// Take puts a newer version in force. It returns once nothing goes out under an older one any more: what the new
+// version forbids is broken off, the rest has been written. Only then has the version been taken in.
+func (g *Gate) Take(ctx context.Context, v *rulebook.View) error {
+	g.mu.Lock()
+	if g.view != nil && v.Version() <= g.view.Version() {
+		g.mu.Unlock()
+		return nil
+	}
+	g.view = v
+	done := make(chan struct{})
+	g.empty = done
+	for p := range g.passes {
+		if !v.Open(p.host, p.born) {
+			g.count.Inc("accord.broken_off")
+			p.abort()
+		}
+	}
+	g.wake()
+	g.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder.Took(v.Version())
+	return nil
+}
+
+// Grant notes a lease, from when its asking was sent.
+func (g *Gate) Grant(asked time.Duration, version uint64, length time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Granted(asked, version, length)
+}
+
+// Holds is the newest version that was taken in.
+func (g *Gate) Holds() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Version()
+}
+
+// Conduct is what may be done now.
+func (g *Gate) Conduct() lease.Conduct {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Conduct(g.clock.Now())
+}
+
+// Left is how long the lease stands yet; negative if it does not.
+func (g *Gate) Left() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left, ok := g.holder.Stands(g.clock.Now())
+	if !ok {
+		return -1
+	}
+	return left
+}
+
+// Refusing tells that nothing new is to be taken from clients, as nothing may be sent.
+func (g *Gate) Refusing() bool { return g.Conduct() == lease.Nothing }
--- /dev/null
+++ b/internal/accord/wire.go
@@ -0,0 +1,254 @@
+// Package accord is a dispatcher's side of the agreed record: it keeps a lease on the newest version of the rules, hands
+// the rules on, and lets nothing start that they or the lease do not allow. The registrars' side is package registrar;
+// what either decides is under internal/decide.
+//
+// Bodies are JSON over HTTP, each with the digest of RFC 9530, so that what a network spoils is refused, not obeyed.
+package accord
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/record"
+	"merlinarch/internal/decide/rulebook"
+)
+
+// Paths that a registrar answers at.
+const (
+	PathEnrol   = "/v1/enrol"
+	PathBeat    = "/v1/beat"
+	PathWatch   = "/v1/watch"
+	PathAsk     = "/v1/ask"
+	PathRetire  = "/v1/retire"
+	PathStatus  = "/v1/status"
+	PathVersion = "/v1/version"
+	PathMembers = "/v1/members"
+)
+
+// MaxBody bounds a body, either way: a document of the largest size, a list of servers, and room round them.
+const MaxBody = 1 << 20
+
+// Enrol asks for a life. Danger: a dispatcher that counts leases by other terms than its registrars would break what
+// they conclude; terms that differ are refused.
+type Enrol struct {
+	Cluster string      `json:"cluster"`
+	Name    string      `json:"name"`
+	Token   string      `json:"token"`
+	Mode    lease.Mode  `json:"mode"`
+	Knows   []string    `json:"knows"`
+	Site    string      `json:"site,omitempty"`
+	Terms   lease.Terms `json:"terms"`
+}
+
+// Enrolled gives it.
+type Enrolled struct {
+	Life uint64 `json:"life"`
+}
+
+// Beat asks for a lease, and tells what the asker has taken in.
+type Beat struct {
+	Cluster string          `json:"cluster"`
+	Name    string          `json:"name"`
+	Life    uint64          `json:"life"`
+	Holds   uint64          `json:"holds"`             // nothing starts under an older version any more
+	Unknown []string        `json:"unknown,omitempty"` // kinds of rules in the newest version that the asker does not understand
+	List    string          `json:"list,omitempty"`    // a sum over Listed
+	Listed  []cordon.Server `json:"listed,omitempty"`  // where the registrar has asked for it
+	Reports []cordon.Report `json:"reports,omitempty"`
+}
+
+// Granted is a lease on a version, from when the Beat was sent.
+type Granted struct {
+	Cluster  string             `json:"cluster"`
+	Leader   string             `json:"leader"`
+	Version  uint64             `json:"version"`
+	LeaseNs  int64              `json:"lease_ns"`
+	Document *rulebook.Document `json:"document,omitempty"` // where the asker held another version
+	WantList bool               `json:"want_list,omitempty"`
+}
+
+// News is what a watch brings: a newer version, or that there is none yet.
+type News struct {
+	Cluster  string             `json:"cluster"`
+	Document *rulebook.Document `json:"document,omitempty"`
+}
+
+// Ask is an operator's.
+type Ask struct {
+	Cluster string `json:"cluster"`
+	rulebook.Ask
+}
+
+// Retire is an operator's word that a dispatcher has ended.
+type Retire struct {
+	Cluster string `json:"cluster"`
+	Name    string `json:"name"`
+	Author  string `json:"author"`
+	Reason  string `json:"reason"`
+	Forced  bool   `json:"forced,omitempty"`
+}
+
+// Role is what a registrar tells of itself.
+type Role struct {
+	Name    string `json:"name"`
+	Leader  string `json:"leader"` // empty: none that it knows of
+	Leads   bool   `json:"leads"`
+	Term    uint64 `json:"term"`
+	Applied uint64 `json:"applied"`
+	Version uint64 `json:"version"`
+}
+
+// Status is what a leader tells of the record.
+type Status struct {
+	Cluster     string                      `json:"cluster"`
+	Role        Role                        `json:"role"`
+	Head        rulebook.Head               `json:"head"`
+	Bound       string                      `json:"bound"` // D
+	Rules       rulebook.Rules              `json:"rules"`
+	Waiting     []rulebook.Waiting          `json:"waiting,omitempty"`
+	Cordons     []record.Cordon             `json:"cordons,omitempty"`
+	Dispatchers []Dispatcher                `json:"dispatchers,omitempty"`
+	Expected    []string                    `json:"expected_missing,omitempty"` // named by the rules, and not in the record
+	Registrars  map[string]record.Registrar `json:"registrars"`
+}
+
+// Dispatcher is what a leader tells of one.
+type Dispatcher struct {
+	Name    string     `json:"name"`
+	Life    uint64     `json:"life"`
+	Mode    lease.Mode `json:"mode"`
+	Heard   bool       `json:"heard"` // by this leader
+	Ago     string     `json:"ago,omitempty"`
+	Holds   uint64     `json:"holds"`
+	Unknown []string   `json:"unknown,omitempty"`
+}
+
+// Versions is a stretch of the history.
+type Versions struct {
+	Steps []rulebook.Step `json:"steps"`
+}
+
+// Problem is why a registrar did not do what was asked.
+type Problem struct {
+	Code   string `json:"code"`
+	Text   string `json:"text"`
+	Leader string `json:"leader,omitempty"` // the name of whom to ask, where it is known
+	status int
+}
+
+func (p *Problem) Error() string { return fmt.Sprintf("registrar: %s: %s", p.Code, p.Text) }
+
+// Codes of problems.
+const (
+	CodeCluster   = "cluster"    // another cluster's
+	CodeNotLeader = "not_leader" // ask the leader
+	CodeLife      = "life"       // this life was replaced: enrol anew
+	CodeTerms     = "terms"      // the two are set differently
+	CodeBusy      = "busy"       // not now: no leader, or its standing can't be proved
+	CodeWrong     = "wrong"      // it can't be
+	CodeGone      = "gone"       // there is none of this name or version
+)
+
+// NewProblem makes one, with the HTTP status that goes with its code.
+func NewProblem(code, text string) *Problem {
+	status := map[string]int{CodeCluster: http.StatusForbidden, CodeNotLeader: http.StatusMisdirectedRequest,
+		CodeLife: http.StatusConflict, CodeTerms: http.StatusPreconditionFailed, CodeBusy: http.StatusServiceUnavailable,
+		CodeGone: http.StatusNotFound}[code]
+	if status == 0 {
+		status = http.StatusBadRequest
+	}
+	return &Problem{Code: code, Text: text, status: status}
+}
+
+const headerDigest = "Content-Digest"
+
+func digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+}
+
+// ErrSpoilt tells that a body is not what its sender wrote.
+var ErrSpoilt = errors.New("body does not match its digest")
+
+// read takes a body whole, at most so many bytes, and checks it.
+func read(h http.Header, body io.Reader, most int64, into any) error {
+	text, err := io.ReadAll(io.LimitReader(body, most+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("body: %w", err)
+	case int64(len(text)) > most:
+		return fmt.Errorf("body is longer than %d bytes", most)
+	case subtle.ConstantTimeCompare([]byte(h.Get(headerDigest)), []byte(digest(text))) != 1:
+		return ErrSpoilt
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("body: %w", err)
+	}
+	return nil
+}
+
+// Read takes a request's body.
+func Read(r *http.Request, most int64, into any) error { return read(r.Header, r.Body, most, into) }
+
+// Write answers with a value, or with a *Problem.
+func Write(w http.ResponseWriter, v any) {
+	status := http.StatusOK
+	if p, ok := v.(*Problem); ok {
+		status = p.status
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte(`{"code":"wrong","text":"the answer can't be written"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerDigest, digest(text))
+	w.WriteHeader(status)
+	w.Write(text) // whoever asked has gone if it fails
+}
+
+// Call asks a registrar: in is sent, unless it is nil, and the answer put into out. What the registrar refused is a
+// *Problem.
+func Call(ctx context.Context, client *http.Client, addr, path string, in, out any) error {
+	method, body := http.MethodGet, []byte(nil)
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		method, body = http.MethodPost, text
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	req.Header.Set(headerDigest, digest(body))
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("registrar: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		p := &Problem{status: resp.StatusCode}
+		if err := read(resp.Header, resp.Body, MaxBody, p); err != nil || p.Code == "" {
+			return fmt.Errorf("registrar %s: status %d", addr, resp.StatusCode)
+		}
+		return p
+	}
+	if err := read(resp.Header, resp.Body, MaxBody, out); err != nil {
+		return fmt.Errorf("registrar %s: %w", addr, err)
+	}
+	return nil
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -37,9 +37,16 @@
 	Refusing() bool
 }
 
+// Rules tells whether anything may be sent at all.
+type Rules interface {
+	// Refusing tells that nothing new may be taken, since no lease on the agreed rules stands.
+	Refusing() bool
+}
+
 // Server serves clients.
 type Server struct {
 	Accounts Accounts // nil: answers are not counted; to be set before Serve
+	Rules    Rules    // nil: no accord; to be set before Serve
 
 	limits  config.Limits
 	reader  *reader
@@ -133,8 +140,13 @@
 		s.turnDown(w, wrong)
 		return
 	}
+	held := s.Rules != nil && s.Rules.Refusing()
 	if r.URL.Path == pathReady {
-		s.send(w, http.StatusOK, nil)
+		status := http.StatusOK
+		if held {
+			status = http.StatusServiceUnavailable
+		}
+		s.send(w, status, nil)
 		return
 	}
 	s.count.Inc("requests.taken")
@@ -174,6 +186,11 @@
 		s.answer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
 		return
 	}
+	if held { // what is given up is answered at once
+		s.count.Inc("requests.refused_without_lease")
+		s.finish(w, f, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, until)
+		return
+	}
 	if full {
 		// Danger: out of memory or descriptors the node dies, and loses all that it holds. Nothing has been
 		// sent for this request, so a refusal is in order whatever its class.
--- /dev/null
+++ b/internal/decide/lease/lease.go
@@ -0,0 +1,236 @@
+// Package lease decides how long a dispatcher may act on the rules that it holds, and when a registrar may take it for
+// certain that one no longer does.
+//
+// A dispatcher asks the registrars again and again. What they grant counts from the moment when its asking was sent,
+// by the asker's own clock, and is for the newest version that was agreed when the asking was heard, and for no other.
+// The leader proves by a round over a majority, begun after it heard the asking, that nobody has agreed on anything
+// newer without it. So a lease on a version never outlasts the agreement on the next one by more than its own length,
+// whoever led meanwhile, and no clock is compared with another; only rates are. See docs/accord.md for the proof.
+package lease
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Terms are what all dispatchers and registrars of a cluster are set to.
+type Terms struct {
+	Length  time.Duration // of a lease, on the dispatcher's clock
+	Longest time.Duration // what a lease may grow to for a site about to be cut off; at least Length
+	Beat    time.Duration // a dispatcher asks so often
+	Send    time.Duration // from the check of a lease until the attempt's last byte is with the kernel
+	Drift   float64       // a clock runs at a rate from 1-Drift to 1+Drift of true time
+}
+
+// DefaultTerms are for dispatchers a local network away from their registrars.
+func DefaultTerms() Terms {
+	return Terms{Length: 3 * time.Second, Longest: 3 * time.Second, Beat: 750 * time.Millisecond, Send: 250 * time.Millisecond, Drift: 0.1}
+}
+
+// Check tells what is wrong with terms.
+func (t Terms) Check() error {
+	switch {
+	case t.Beat <= 0 || t.Send <= 0:
+		return fmt.Errorf("beat and send: expected more than 0s, got %v and %v", t.Beat, t.Send)
+	case t.Length < 3*t.Beat: // two askings in a row may be lost
+		return fmt.Errorf("lease: expected at least three beats (%v), got %v", 3*t.Beat, t.Length)
+	case t.Longest < t.Length:
+		return fmt.Errorf("longest_lease: expected at least the lease (%v), got %v", t.Length, t.Longest)
+	case t.Drift < 0 || t.Drift >= 0.5:
+		return fmt.Errorf("drift: expected 0 to under 0.5, got %g", t.Drift)
+	}
+	return nil
+}
+
+// Bound is D: no dispatcher starts an attempt under a version older than the newest agreed one later than this after
+// that one was agreed, in true time. A dispatcher whose clock is slow counts its lease long.
+func (t Terms) Bound() time.Duration { return t.bound(t.Length) }
+
+// BoundOf is D for a dispatcher that was granted a lease of another length.
+func (t Terms) BoundOf(length time.Duration) time.Duration { return t.bound(length) }
+
+func (t Terms) bound(length time.Duration) time.Duration {
+	return time.Duration(float64(length)/(1-t.Drift)) + t.Send
+}
+
+// Wait is how long a registrar waits, on its own clock, from hearing an asking until the lease that it may have given
+// rise to is over for certain. A registrar whose clock is fast counts true time short.
+func (t Terms) Wait(length time.Duration) time.Duration {
+	return time.Duration(float64(t.bound(length)) * (1 + t.Drift))
+}
+
+// Mode is what a dispatcher does without a lease.
+type Mode string
+
+// Modes.
+const (
+	Hold  Mode = "hold"  // nothing new is sent: requests are refused at once
+	Serve Mode = "serve" // the last version taken in goes on, without builds on trial and without dispatches
+)
+
+// Conduct is what a dispatcher may do at a moment.
+type Conduct int
+
+// Conducts.
+const (
+	Full    Conduct = iota // all that the version it holds allows
+	Stale                  // mode Serve, without a lease: ordinary requests at builds that are not on trial
+	Nothing                // nothing new is sent
+)
+
+// Holder is a dispatcher's side. It is not safe for use by several goroutines.
+type Holder struct {
+	Mode    Mode
+	version uint64 // taken in; 0: none yet in this life
+	until   time.Duration
+	granted bool
+}
+
+// Took notes that a version has been taken in: from now on nothing starts under an older one.
+func (h *Holder) Took(version uint64) { h.version = max(h.version, version) }
+
+// Version is the newest version taken in.
+func (h *Holder) Version() uint64 { return h.version }
+
+// Granted notes a lease on a version, counted from when its asking was sent. A lease on a version that was not taken
+// in is worth nothing, and answers that come in another order never shorten what stands.
+func (h *Holder) Granted(asked time.Duration, version uint64, length time.Duration) bool {
+	if version == 0 || version > h.version || length <= 0 {
+		return false
+	}
+	if until := asked + length; !h.granted || until > h.until {
+		h.granted, h.until = true, until
+	}
+	return true
+}
+
+// Stands tells whether a lease stands, and for how long yet.
+func (h *Holder) Stands(now time.Duration) (left time.Duration, ok bool) {
+	return h.until - now, h.granted && now < h.until
+}
+
+// Conduct is what may be done now. A process that has taken in no version yet does nothing in either mode: what it
+// held in an earlier life may have been replaced, and its earlier life may have been reported as confirmed.
+func (h *Holder) Conduct(now time.Duration) Conduct {
+	_, stands := h.Stands(now)
+	switch {
+	case stands:
+		return Full
+	case h.Mode == Serve && h.version > 0:
+		return Stale
+	default:
+		return Nothing
+	}
+}
+
+// Member is a dispatcher in the agreed record.
+type Member struct {
+	Life   uint64   `json:"life"`             // its number of this life; a later one replaces it
+	Token  string   `json:"token"`            // that it chose at its start, so that a repeated asking gets one life
+	Mode   Mode     `json:"mode"`             // as it is set to
+	Former []uint64 `json:"former,omitempty"` // lives that may still hold leases; bounded by Formers
+	Knows  []string `json:"knows,omitempty"`  // kinds of rules that it understands
+	Site   string   `json:"site,omitempty"`
+}
+
+// Formers bounds the former lives that are kept of one dispatcher: one that restarts faster than its leases lapse
+// waits until there is room.
+const Formers = 16
+
+type seen struct {
+	at    time.Duration // an asking was last heard
+	over  time.Duration // no lease that it was granted stands from then on
+	holds uint64
+	heard bool // by this leader
+}
+
+type lifeKey struct {
+	name string
+	life uint64
+}
+
+// Roll is a leader's side: what it has heard from each life of each dispatcher since it began to lead. It lives and dies
+// with one term of leadership.
+type Roll struct {
+	terms Terms
+	begun time.Duration
+	seen  map[lifeKey]*seen
+}
+
+// NewRoll begins a term of leadership. Danger: an earlier leader may have granted leases that this one never heard of;
+// until the longest of them is over, none counts as lapsed.
+func NewRoll(terms Terms, now time.Duration) *Roll {
+	return &Roll{terms: terms, begun: now, seen: map[lifeKey]*seen{}}
+}
+
+func (r *Roll) of(name string, life uint64) *seen {
+	k := lifeKey{name, life}
+	s := r.seen[k]
+	if s == nil {
+		s = &seen{at: r.begun, over: r.begun + r.terms.Wait(r.terms.Longest)}
+		r.seen[k] = s
+	}
+	return s
+}
+
+// Asked notes an asking that was heard now, and what its sender had taken in by then; length is the longest lease that
+// may be granted for it. It has to be called before anything is granted.
+func (r *Roll) Asked(now time.Duration, name string, life, holds uint64, length time.Duration) {
+	s := r.of(name, life)
+	s.at, s.over = now, max(s.over, now+r.terms.Wait(length))
+	s.holds, s.heard = max(s.holds, holds), true
+}
+
+// Missing is a life of a dispatcher that may yet act on an older version.
+type Missing struct {
+	Name  string        `json:"name"`
+	Life  uint64        `json:"life"`
+	Holds uint64        `json:"holds"`           // 0: not heard of since this leader began
+	Left  time.Duration `json:"left_ns"`         // until its lease is over for certain; negative: it has to say so itself
+	Never bool          `json:"never,omitempty"` // mode serve: no lapse counts
+}
+
+// Missing tells who may yet act on a version older than the one given, in order of names.
+func (r *Roll) Missing(now time.Duration, members map[string]Member, version uint64) []Missing {
+	var out []Missing
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		m := members[name]
+		for _, life := range append(slices.Clone(m.Former), m.Life) {
+			s := r.of(name, life)
+			if s.holds >= version {
+				continue
+			}
+			left := s.over - now
+			// Danger: who serves on without a lease acts on what it last heard for as long as it is cut off.
+			never := m.Mode == Serve && life == m.Life
+			if never || left > 0 {
+				out = append(out, Missing{Name: name, Life: life, Holds: s.holds, Left: left, Never: never})
+			}
+		}
+	}
+	return out
+}
+
+// Lapsed lists the former lives whose leases are over for certain.
+func (r *Roll) Lapsed(now time.Duration, members map[string]Member) map[string][]uint64 {
+	out := map[string][]uint64{}
+	for name, m := range members {
+		for _, life := range m.Former {
+			if r.of(name, life).over <= now {
+				out[name] = append(out[name], life)
+			}
+		}
+	}
+	return out
+}
+
+// Heard tells when a life was last heard of by this leader, and what it holds.
+func (r *Roll) Heard(name string, life uint64) (at time.Duration, holds uint64, ok bool) {
+	s := r.seen[lifeKey{name, life}]
+	if s == nil || !s.heard {
+		return 0, 0, false
+	}
+	return s.at, s.holds, true
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -24,6 +24,7 @@
 	fieldAddr     = "dial"
 	fieldZone     = "site"
 	fieldCell     = "block"
+	fieldClass    = "class"
 	fieldState    = "health"
 	fieldWeight   = "share"
 	fieldStarted  = "born_ms"
@@ -82,9 +83,10 @@
 		build < 0 || build >= highestBuild || weight < 0 {
 		return gateway.Host{}, false
 	}
-	return gateway.Host{Addr: addr, Server: logic.Server{ID: ServerID(string(id)),
-		Zone: string(e.GetStringBytes(fieldZone)), Build: logic.BuildID(build), Cell: e.GetInt(fieldCell),
-		State: state, Weight: weight, Started: clock.FromUnix(e.GetFloat64(fieldStarted))}}, true
+	return gateway.Host{Addr: addr, Name: string(id), Class: string(e.GetStringBytes(fieldClass)),
+		Born: int64(e.GetFloat64(fieldStarted)), Server: logic.Server{ID: ServerID(string(id)),
+			Zone: string(e.GetStringBytes(fieldZone)), Build: logic.BuildID(build), Cell: e.GetInt(fieldCell),
+			State: state, Weight: weight, Started: clock.FromUnix(e.GetFloat64(fieldStarted))}}, true
 }
 
 // ServerID is a number for a host's id, the same at every router.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -3,14 +3,88 @@
 package features
 
 import (
+	"fmt"
+	"net"
+	"strings"
 	"time"
 
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/template"
 )
 
 // Features is what a file may switch on; each subsystem has a field of its own.
 type Features struct {
 	Ledger Ledger `json:"ledger"`
+	Accord Accord `json:"accord"`
+}
+
+// Accord is the cluster of registrars that keeps the agreed rules; the same for them, the dispatchers and the commands.
+type Accord struct {
+	Cluster    string            `json:"cluster"`    // empty: off
+	Registrars map[string]string `json:"registrars"` // addresses by name
+	Listen     string            `json:"listen"`     // of a registrar; empty: its address above
+	Mode       string            `json:"without_lease"`
+	Lease      time.Duration     `json:"lease"`
+	Longest    time.Duration     `json:"longest_lease"` // empty: the lease
+	Beat       time.Duration     `json:"beat"`
+	Send       time.Duration     `json:"send"`
+	Drift      float64           `json:"drift"`
+	Budget     float64           `json:"budget"` // of a site's and build's capacity that may be cordoned, draining, lost or cold together
+	Cold       time.Duration     `json:"cold"`   // a server whose cordon was lifted is cold for so long
+	Auto       Auto              `json:"auto"`
+	ClockRate  float64           `json:"clock_rate"` // of the clock that leases are counted on; for tests
+}
+
+// Auto cordons servers by the dispatchers' own evidence.
+type Auto struct {
+	Agreeing int     `json:"agreeing"` // dispatchers that have to see the same; 0: off
+	Most     int     `json:"most"`     // such cordons that may stand together
+	Share    float64 `json:"share"`    // of a server's answers that are errors
+	Least    int     `json:"least"`    // answers that a dispatcher needs
+}
+
+// On tells whether there is an accord.
+func (a Accord) On() bool { return a.Cluster != "" }
+
+// Terms are those of the leases.
+func (a Accord) Terms() lease.Terms {
+	return lease.Terms{Length: a.Lease, Longest: max(a.Lease, a.Longest), Beat: a.Beat, Send: a.Send, Drift: a.Drift}
+}
+
+// check finds what is wrong; the path is of the field.
+func (a Accord) check() (path, text string) {
+	if !a.On() {
+		if len(a.Registrars) > 0 {
+			return "cluster", "expected a name"
+		}
+		return "", ""
+	}
+	if n := len(a.Registrars); n == 0 || n > 7 {
+		return "registrars", fmt.Sprintf("expected 3 or 5 addresses by name, got %d", n)
+	}
+	for name, addr := range a.Registrars {
+		if host, _, err := net.SplitHostPort(addr); err != nil || net.ParseIP(host) == nil || name == "" {
+			return "registrars", fmt.Sprintf("expected an IP address and a port, got %q", addr)
+		}
+	}
+	if m := lease.Mode(a.Mode); m != lease.Hold && m != lease.Serve {
+		return "without_lease", "expected hold or serve, got " + a.Mode
+	}
+	if err := a.Terms().Check(); err != nil {
+		return "", err.Error()
+	}
+	switch {
+	case a.Budget < 0 || a.Budget > 1:
+		return "budget", fmt.Sprintf("expected 0 to 1, got %g", a.Budget)
+	case a.Cold < 0:
+		return "cold", "expected a time from 0s"
+	case a.Auto.Agreeing < 0 || a.Auto.Most < 0 || a.Auto.Least < 0 || a.Auto.Share < 0 || a.Auto.Share > 1:
+		return "auto", "expected numbers from 0, and a share up to 1"
+	case a.ClockRate < 0:
+		return "clock_rate", "expected more than 0"
+	}
+	return "", ""
 }
 
 // Ledger counts use by tenant on a disk that lasts.
@@ -23,7 +97,10 @@
 
 // Default is everything off.
 func Default() Features {
-	return Features{Ledger: Ledger{Period: time.Hour, Grace: time.Minute, OnFailure: "refuse"}}
+	t := lease.DefaultTerms()
+	return Features{Ledger: Ledger{Period: time.Hour, Grace: time.Minute, OnFailure: "refuse"},
+		Accord: Accord{Mode: string(lease.Hold), Lease: t.Length, Beat: t.Beat, Send: t.Send, Drift: t.Drift,
+			Budget: cordon.DefaultBudget().Share, Cold: time.Minute, Auto: Auto{Share: 0.5, Least: 20, Most: 1}}}
 }
 
 // Load reads a file, which read makes an object of; without a path everything is off. A wrong file is a
@@ -48,5 +125,8 @@
 	case l.OnFailure != "refuse" && l.OnFailure != "serve":
 		return f, &template.Error{File: path, Path: "ledger.on_failure", Text: "expected refuse or serve, got " + l.OnFailure}
 	}
+	if at, text := f.Accord.check(); text != "" {
+		return f, &template.Error{File: path, Path: strings.TrimSuffix("accord."+at, "."), Text: text}
+	}
 	return f, nil
 }
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/logic"
+)
+
+// Fleet is what this dispatcher knows of the servers, for the registrars. The loop writes it, the accord's task reads it.
+type Fleet struct {
+	clock    Clock
+	coldTime time.Duration
+
+	mu    sync.Mutex
+	hosts map[logic.ServerID]Host
+	heard map[logic.ServerID]cordon.Report // since the last Reports
+}
+
+func newFleet(clock Clock, coldTime time.Duration) *Fleet {
+	return &Fleet{clock: clock, coldTime: coldTime, hosts: map[logic.ServerID]Host{}, heard: map[logic.ServerID]cordon.Report{}}
+}
+
+// set takes the list as it stands now.
+func (f *Fleet) set(hosts map[logic.ServerID]Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.hosts)
+	for id, h := range hosts {
+		f.hosts[id] = h
+	}
+}
+
+// noted counts an answer. Silence is none.
+func (f *Fleet) noted(id logic.ServerID, o logic.Outcome) {
+	if o != logic.OK && o != logic.ServerError {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h, ok := f.hosts[id]
+	if !ok {
+		return
+	}
+	r := f.heard[id]
+	r.Host = h.Name
+	r.Answered++
+	if o == logic.ServerError {
+		r.Erred++
+	}
+	f.heard[id] = r
+}
+
+// Listed is the list, with a sum over it.
+func (f *Fleet) Listed() (servers []cordon.Server, sum string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, h := range f.hosts {
+		servers = append(servers, cordon.Server{Host: h.Name, Born: h.Born, Site: h.Zone, Class: h.Class, Build: int(h.Build),
+			Weight: h.Weight, Out: h.State != logic.Ready || h.Started > 0 && now < h.Started+f.coldTime})
+	}
+	slices.SortFunc(servers, func(a, b cordon.Server) int { return cmp.Compare(a.Host, b.Host) })
+	h := fnv.New64a()
+	fmt.Fprint(h, servers)
+	return servers, fmt.Sprintf("%x", h.Sum64())
+}
+
+// Reports is what servers have answered since it was last asked for.
+func (f *Fleet) Reports() []cordon.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []cordon.Report{}
+	for _, r := range f.heard {
+		out = append(out, r)
+	}
+	clear(f.heard)
+	slices.SortFunc(out, func(a, b cordon.Report) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,10 @@
 // Host is a server as discovery lists it, and where it listens.
 type Host struct {
 	logic.Server
-	Addr string
+	Addr  string
+	Name  string // as the list has it
+	Class string // of machine
+	Born  int64  // when this life started, in Unix time and milliseconds; 0: long ago
 }
 
 // Attempt is one try of a request at a server.
@@ -35,6 +38,7 @@
 // Result tells how an attempt or a probe ended, and what came back.
 type Result struct {
 	Outcome logic.Outcome
+	Held    bool // NotSent, since nothing may be sent now: no lease on the agreed rules stands
 	Body    []byte
 	Free    func() // gives back the room that the body takes; nil: nothing to do
 	Load    *logic.Load
@@ -136,14 +140,16 @@
 	timers timers
 	driver *driver.Driver[*request]
 	calls  map[*exchange.Exchange]*call
-	last   logic.ReleaseStatus
+	last   logic.ReleaseStatus // as handed to the module
+	rules  *rules              // nil: no accord
+	router *logic.Router
 }
 
 // New makes a gateway round a router; Run starts it.
 func New(router *logic.Router, limits config.Limits, clock Clock, count *metrics.Registry, log *zap.Logger) *Gateway {
 	g := &Gateway{limits: limits, clock: clock, count: count, log: log,
 		events: make(chan event, limits.MaxEvents), done: make(chan struct{}), calls: map[*exchange.Exchange]*call{}}
-	g.driver = driver.New(router, effects{g})
+	g.driver, g.router = driver.New(router, effects{g}), router
 	return g
 }
 
@@ -255,8 +261,10 @@
 		g.feed(logic.ProbeDone{Server: e.server, Outcome: e.result.Outcome, Took: e.result.Ended.Sub(e.sentAt),
 			Load: e.result.Load})
 	case listed:
-		g.parts.Servers.Listed(e.event.Full, e.hosts) // first, so that sends find the addresses
-		g.feed(e.event)
+		g.list(e)
+	case ruled:
+		g.rule(e)
+		close(e.heard)
 	case logic.ReleaseStatus:
 		g.release(e)
 	default:
@@ -298,8 +306,13 @@
 	ex := c.Of.ex
 	c.Of.cancel = nil
 	g.count.Inc("attempts." + outcomeName(e.result.Outcome))
-	over := e.result.Outcome == logic.OK || c.Gone() || ex.Ended()
+	over := e.result.Outcome == logic.OK || e.result.Held || c.Gone() || ex.Ended()
+	if g.rules != nil {
+		g.rules.fleet.noted(c.Server, e.result.Outcome)
+	}
 	switch {
+	case e.result.Held && e.attempt == 0: // nothing has been sent for it
+		ex.Finish(exchange.Answer{Status: exchange.Refused, RetryAfter: g.limits.RetryAfter})
 	case e.result.Outcome == logic.OK:
 		if a := (exchange.Answer{Status: exchange.Served, Body: e.result.Body, Free: e.result.Free, Attempts: e.attempt + 1}); !ex.Finish(a) {
 			a.Release()
@@ -313,8 +326,12 @@
 	g.driver.Settled(g.clock.Now(), c, e.result.Outcome, g.clock.At(e.result.Ended), e.result.Load, over)
 }
 
-// release passes on the platform's news. Sends to a build whose share has fallen must not leave late.
+// release passes on the platform's news, narrowed by the agreed rules. Sends to a build whose share has fallen must not
+// leave late.
 func (g *Gateway) release(e logic.ReleaseStatus) {
+	if g.rules != nil {
+		e = g.rules.release(e)
+	}
 	if !e.IsReply || e.Reply == logic.VoteCounts {
 		if e.Build == g.last.Build && e.Cap < g.last.Cap {
 			g.parts.Servers.Recall(e.Build)
@@ -365,6 +382,9 @@
 	case logic.Post:
 		g.parts.Peers.Post(a)
 	case logic.Vote:
+		if g.rules != nil {
+			a = g.rules.view.Vote(a, g.rules.conduct)
+		}
 		g.parts.Platform.Vote(a)
 	case logic.Watch: // the watch of discovery always stands or is being renewed
 	case logic.Log:
--- /dev/null
+++ b/internal/gateway/rules.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/exchange"
+	"merlinarch/logic"
+)
+
+// rules is what the loop keeps for the agreed rules: discovery's list and the platform's news as they came, and the view
+// that narrows them. The module hears of a cordon as it hears of a drain.
+type rules struct {
+	view    *rulebook.View
+	conduct lease.Conduct
+	hosts   map[logic.ServerID]Host          // as listed
+	lifted  map[logic.ServerID]time.Duration // when the cordon of this life was lifted: it counts as started then
+	news    *logic.ReleaseStatus             // the platform's latest; nil: none yet
+	fleet   *Fleet
+}
+
+// ruled is a version of the rules, or another conduct.
+type ruled struct {
+	view    *rulebook.View
+	conduct lease.Conduct
+	heard   chan struct{} // closed once the module knows
+}
+
+// UseRules has the gateway keep to agreed rules; until the first version comes, nothing may be sent. It has to be called
+// before Run. The Fleet is what dispatchers tell their registrars of the servers.
+func (g *Gateway) UseRules(coldTime time.Duration) *Fleet {
+	f := newFleet(g.clock, coldTime)
+	g.rules = &rules{view: rulebook.NewView(rulebook.Document{}), conduct: lease.Nothing, hosts: map[logic.ServerID]Host{},
+		lifted: map[logic.ServerID]time.Duration{}, fleet: f}
+	return f
+}
+
+// Ruled brings a version of the rules, or another conduct, and returns once the module knows of it.
+func (g *Gateway) Ruled(ctx context.Context, v *rulebook.View, c lease.Conduct) error {
+	e := ruled{v, c, make(chan struct{})}
+	if err := g.post(e); err != nil {
+		return err
+	}
+	select {
+	case <-e.heard:
+		return nil
+	case <-g.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// list takes discovery's news, narrowed by the rules. The pool hears first, so that sends find the addresses.
+func (g *Gateway) list(e listed) {
+	if r := g.rules; r != nil && !e.event.Failed {
+		r.keep(e)
+		for i := range e.hosts {
+			e.hosts[i] = r.narrow(e.hosts[i], g.clock)
+			e.event.Servers[i] = e.hosts[i].Server
+		}
+	}
+	g.parts.Servers.Listed(e.event.Full, e.hosts)
+	g.feed(e.event)
+}
+
+// keep notes a list as it came.
+func (r *rules) keep(e listed) {
+	named := map[logic.ServerID]bool{}
+	for _, h := range e.hosts {
+		named[h.ID] = true
+		if was, ok := r.hosts[h.ID]; ok && (was.Born != h.Born || was.Build != h.Build) {
+			delete(r.lifted, h.ID)
+		}
+		if h.State == logic.Gone {
+			delete(r.hosts, h.ID)
+			delete(r.lifted, h.ID)
+			continue
+		}
+		r.hosts[h.ID] = h
+	}
+	if e.event.Full {
+		maps.DeleteFunc(r.hosts, func(id logic.ServerID, _ Host) bool { return !named[id] })
+		maps.DeleteFunc(r.lifted, func(id logic.ServerID, _ time.Duration) bool { return !named[id] })
+	}
+	r.fleet.set(r.hosts)
+}
+
+// narrow is a listed server as the rules let it be seen. One whose cordon was lifted comes back as one that has just
+// started does, so that all dispatchers together keep to its warm-up.
+func (r *rules) narrow(h Host, clock Clock) Host {
+	if at := clock.FromUnix(float64(r.view.LiftedAt(h.Name))); at > h.Started && at > r.lifted[h.ID] {
+		r.lifted[h.ID] = at
+	}
+	h.Started = max(h.Started, r.lifted[h.ID])
+	h.State = r.view.State(h.Name, h.Born, h.State)
+	return h
+}
+
+// release narrows the platform's news.
+func (r *rules) release(e logic.ReleaseStatus) logic.ReleaseStatus {
+	if !e.IsReply || e.Reply == logic.VoteCounts {
+		kept := e
+		kept.IsReply = false
+		r.news = &kept
+	}
+	return r.view.Release(e, r.conduct)
+}
+
+// rule takes a version in, or another conduct: what it changes for servers, for the build on trial, for shares and worths
+// reaches the module, and what waits unsent while nothing may be sent is refused at once.
+func (g *Gateway) rule(e ruled) {
+	r := g.rules
+	was := maps.Clone(r.hosts)
+	for id, h := range was {
+		was[id] = r.narrow(h, g.clock)
+	}
+	r.view, r.conduct = e.view, e.conduct
+	var changed []Host
+	event := logic.ServersListed{}
+	for id, h := range r.hosts {
+		if now := r.narrow(h, g.clock); now != was[id] {
+			changed = append(changed, now)
+			event.Servers = append(event.Servers, now.Server)
+		}
+	}
+	if len(changed) > 0 {
+		g.parts.Servers.Listed(false, changed)
+		g.feed(event)
+	}
+	if r.news != nil && r.news.Phase == logic.OnTrial {
+		if now := r.view.Release(*r.news, r.conduct); now.Cap != g.last.Cap || now.Build != g.last.Build {
+			g.release(*r.news)
+		}
+	}
+	d := r.view.Document.Rules
+	g.router.Retune(d.Tenants, d.Worth)
+	if r.conduct != lease.Nothing {
+		return
+	}
+	for ex, c := range g.calls {
+		if c.Attempt() < 0 && !c.Out() && ex.Finish(exchange.Answer{Status: exchange.Refused, RetryAfter: g.limits.RetryAfter}) {
+			g.driver.Leave(g.clock.Now(), c)
+			delete(g.calls, ex)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registrar/store.go
@@ -0,0 +1,464 @@
+package registrar
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"merlinarch/internal/decide/record"
+	"merlinarch/internal/decide/rulebook"
+)
+
+// Identity is what a registrar's disk says of it. Danger: one that starts with an empty disk under its old identity
+// would vote as if it had never promised anything; so an identity is made once, with the disk, and never again.
+type Identity struct {
+	Cluster string `json:"cluster"`
+	Name    string `json:"name"`
+	ID      uint64 `json:"id"`
+	Boots   uint64 `json:"boots"` // how often it was started from this disk
+}
+
+// Mark is what a registrar has seen another one promise: an earlier copy of that one's disk does not have it.
+type Mark struct {
+	Boots uint64 `json:"boots"`
+	Start string `json:"start,omitempty"` // drawn at that start: a copy of its disk counts the same, and draws another
+	Match uint64 `json:"match"`           // entries up to here are on its disk
+	Term  uint64 `json:"term"`
+}
+
+var (
+	bucketMeta     = []byte("meta")
+	bucketLog      = []byte("log")
+	bucketVersions = []byte("versions")
+	bucketMarks    = []byte("marks")
+
+	keyIdentity = []byte("identity")
+	keyHard     = []byte("hard")
+	keySnapshot = []byte("snapshot")
+)
+
+// store is a registrar's disk: identity, log, snapshot, versions and marks, in one file. Each value has a checksum in
+// front: what a disk spoils is found when it is read, and never taken for what was written.
+type store struct {
+	db  *bbolt.DB
+	mem *raft.MemoryStorage // the log as the library reads it; written after the disk is
+	id  Identity
+	err error // the disk failed: nothing is written any more
+}
+
+// Errors of opening.
+var (
+	ErrNoDisk = errors.New("no disk of this registrar: 'registrar init' makes the first ones of a cluster, 'registrar join' one that takes another's place")
+	ErrSpoilt = errors.New("a value on the disk is not what was written: replace this registrar")
+	errInUse  = errors.New("the file is in use by another process")
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// sealed puts a checksum in front of a value; it covers the key, so that values can't change places.
+func sealed(key, value []byte) []byte {
+	sum := crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, value)
+	return append(binary.BigEndian.AppendUint32(nil, sum), value...)
+}
+
+func unsealed(key, text []byte) ([]byte, error) {
+	if len(text) < 4 {
+		return nil, fmt.Errorf("%w (%s)", ErrSpoilt, key)
+	}
+	sum := crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, text[4:])
+	if binary.BigEndian.Uint32(text) != sum {
+		return nil, fmt.Errorf("%w (%x)", ErrSpoilt, key)
+	}
+	return text[4:], nil
+}
+
+func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+func get(b *bbolt.Bucket, key []byte) ([]byte, error) {
+	text := b.Get(key)
+	if text == nil {
+		return nil, nil
+	}
+	return unsealed(key, text)
+}
+
+func put(b *bbolt.Bucket, key, value []byte) error { return b.Put(key, sealed(key, value)) }
+
+func putJSON(b *bbolt.Bucket, key []byte, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return put(b, key, text)
+}
+
+func openFile(path string) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
+	switch {
+	case errors.Is(err, bolterrors.ErrTimeout):
+		return nil, fmt.Errorf("%s: %w", path, errInUse)
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w: %w", path, ErrSpoilt, err)
+	}
+	return db, nil
+}
+
+// create makes a disk. A snapshot holds the record that the cluster begins with; nil where the leader will send it.
+func create(path string, id Identity, begin *pb.Snapshot) error {
+	if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%s: there is a file already, and a registrar's disk is never made anew over an old one", path)
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return err
+	}
+	// Made under another name first: half a disk must not pass for one.
+	half := path + ".new"
+	if err := os.Remove(half); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	db, err := openFile(half)
+	if err != nil {
+		return err
+	}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{bucketMeta, bucketLog, bucketVersions, bucketMarks} {
+			if _, err := tx.CreateBucket(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(bucketMeta)
+		if err := putJSON(meta, keyIdentity, id); err != nil {
+			return err
+		}
+		if begin == nil {
+			return nil
+		}
+		text, err := proto.Marshal(begin)
+		if err != nil {
+			return err
+		}
+		if err := put(meta, keySnapshot, text); err != nil {
+			return err
+		}
+		hard, err := proto.Marshal(&pb.HardState{Term: begin.Metadata.Term, Vote: new(uint64), Commit: begin.Metadata.Index})
+		if err != nil {
+			return err
+		}
+		return put(meta, keyHard, hard)
+	})
+	if err = errors.Join(err, db.Close()); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if err := os.Rename(half, path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+// openStore reads a disk whole, checks it, and counts this start on it.
+func openStore(path string) (*store, error) {
+	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("%s: %w", path, ErrNoDisk)
+	}
+	db, err := openFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &store{db: db, mem: raft.NewMemoryStorage()}
+	if err := s.load(); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
+	}
+	return s, nil
+}
+
+func (s *store) load() error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		if meta == nil || log == nil || tx.Bucket(bucketVersions) == nil || tx.Bucket(bucketMarks) == nil {
+			return ErrSpoilt
+		}
+		text, err := get(meta, keyIdentity)
+		if err != nil {
+			return err
+		}
+		if json.Unmarshal(text, &s.id) != nil || s.id.ID == 0 {
+			return fmt.Errorf("identity: %w", ErrSpoilt)
+		}
+		if text, err = get(meta, keySnapshot); err != nil {
+			return err
+		} else if text != nil {
+			var snap pb.Snapshot
+			if err := proto.Unmarshal(text, &snap); err != nil {
+				return fmt.Errorf("snapshot: %w", ErrSpoilt)
+			}
+			if err := s.mem.ApplySnapshot(&snap); err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+		}
+		var hard pb.HardState
+		if text, err = get(meta, keyHard); err != nil {
+			return err
+		} else if text != nil {
+			if err := proto.Unmarshal(text, &hard); err != nil {
+				return fmt.Errorf("promises: %w", ErrSpoilt)
+			}
+		}
+		first, _ := s.mem.FirstIndex()
+		var entries []*pb.Entry
+		next := first
+		for v := log.Get(number(next)); v != nil; v = log.Get(number(next)) {
+			value, err := unsealed(number(next), v)
+			if err != nil {
+				return err
+			}
+			e := &pb.Entry{}
+			if err := proto.Unmarshal(value, e); err != nil || e.GetIndex() != next {
+				return fmt.Errorf("entry %d of the log: %w", next, ErrSpoilt)
+			}
+			entries = append(entries, e)
+			next++
+		}
+		if k, _ := log.Cursor().Last(); k != nil && binary.BigEndian.Uint64(k) >= next {
+			return fmt.Errorf("log has a gap at %d: %w", next, ErrSpoilt)
+		}
+		if err := s.mem.Append(entries); err != nil {
+			return err
+		}
+		if last, _ := s.mem.LastIndex(); hard.GetCommit() > last {
+			return fmt.Errorf("agreed up to %d, log up to %d: %w", hard.GetCommit(), last, ErrSpoilt)
+		}
+		if !raft.IsEmptyHardState(&hard) {
+			if err := s.mem.SetHardState(&hard); err != nil {
+				return err
+			}
+		}
+		s.id.Boots++
+		return putJSON(meta, keyIdentity, s.id)
+	})
+}
+
+// batch is what is to be written together.
+type batch struct {
+	messages []*pb.Message   // MsgStorageAppend
+	steps    []rulebook.Step // versions
+	marks    map[uint64]Mark
+	snapshot *pb.Snapshot // of this registrar's own record
+	keep     uint64       // entries before it may go with the snapshot
+}
+
+// write writes a batch under one sync.
+func (s *store) write(b batch) error {
+	if s.err != nil {
+		return s.err
+	}
+	for _, m := range b.messages { // the leader's record goes before an older one of this registrar's own
+		if b.snapshot != nil && !raft.IsEmptySnap(m.Snapshot) && m.Snapshot.Metadata.GetIndex() >= b.snapshot.Metadata.GetIndex() {
+			b.snapshot = nil
+		}
+	}
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		for _, m := range b.messages {
+			if err := appendMessage(meta, log, m); err != nil {
+				return err
+			}
+		}
+		for _, step := range b.steps {
+			if err := putJSON(tx.Bucket(bucketVersions), number(step.Head.Version), step); err != nil {
+				return err
+			}
+		}
+		for id, m := range b.marks {
+			if err := putJSON(tx.Bucket(bucketMarks), number(id), m); err != nil {
+				return err
+			}
+		}
+		if b.snapshot == nil {
+			return nil
+		}
+		if err := putSnapshot(meta, b.snapshot); err != nil {
+			return err
+		}
+		return dropBefore(log, b.keep)
+	})
+	if err != nil {
+		s.err = fmt.Errorf("disk: %w", err)
+		return s.err
+	}
+	return s.remember(b)
+}
+
+// remember brings the library's copy of the log in step with the disk.
+func (s *store) remember(b batch) error {
+	for _, m := range b.messages {
+		if !raft.IsEmptySnap(m.Snapshot) {
+			if err := s.mem.ApplySnapshot(m.Snapshot); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+				return err
+			}
+		}
+		if hard := hardState(m); hard != nil {
+			if err := s.mem.SetHardState(hard); err != nil {
+				return err
+			}
+		}
+		if err := s.mem.Append(m.Entries); err != nil {
+			return err
+		}
+	}
+	if b.snapshot == nil {
+		return nil
+	}
+	m := b.snapshot.Metadata
+	if _, err := s.mem.CreateSnapshot(m.GetIndex(), m.ConfState, b.snapshot.Data); err != nil {
+		if errors.Is(err, raft.ErrSnapOutOfDate) {
+			return nil
+		}
+		return err
+	}
+	if first, _ := s.mem.FirstIndex(); b.keep > first {
+		return s.mem.Compact(b.keep - 1)
+	}
+	return nil
+}
+
+// hardState is what a message asks to promise; nil: nothing new.
+func hardState(m *pb.Message) *pb.HardState {
+	if m.Term == nil || m.Vote == nil || m.Commit == nil {
+		return nil
+	}
+	return &pb.HardState{Term: m.Term, Vote: m.Vote, Commit: m.Commit}
+}
+
+func putSnapshot(meta *bbolt.Bucket, snap *pb.Snapshot) error {
+	text, err := proto.Marshal(snap)
+	if err != nil {
+		return err
+	}
+	return put(meta, keySnapshot, text)
+}
+
+func appendMessage(meta, log *bbolt.Bucket, m *pb.Message) error {
+	if !raft.IsEmptySnap(m.Snapshot) {
+		if err := putSnapshot(meta, m.Snapshot); err != nil {
+			return err
+		}
+		if err := dropFrom(log, 0); err != nil { // what is before it is in it, what follows was of another history
+			return err
+		}
+	}
+	if hard := hardState(m); hard != nil {
+		text, err := proto.Marshal(hard)
+		if err != nil {
+			return err
+		}
+		if err := put(meta, keyHard, text); err != nil {
+			return err
+		}
+	}
+	if len(m.Entries) == 0 {
+		return nil
+	}
+	if err := dropFrom(log, m.Entries[0].GetIndex()); err != nil {
+		return err
+	}
+	for _, e := range m.Entries {
+		text, err := proto.Marshal(e)
+		if err != nil {
+			return err
+		}
+		if err := put(log, number(e.GetIndex()), text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dropFrom drops the log from an entry on.
+func dropFrom(log *bbolt.Bucket, from uint64) error {
+	c := log.Cursor()
+	for k, _ := c.Seek(number(from)); k != nil; k, _ = c.Seek(number(from)) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dropBefore drops the log before an entry.
+func dropBefore(log *bbolt.Bucket, before uint64) error {
+	c := log.Cursor()
+	for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) < before; k, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// marks reads what other registrars were seen to promise.
+func (s *store) marks() (map[uint64]Mark, error) {
+	out := map[uint64]Mark{}
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		return tx.Bucket(bucketMarks).ForEach(func(k, v []byte) error {
+			text, err := unsealed(k, v)
+			if err != nil {
+				return err
+			}
+			var m Mark
+			if err := json.Unmarshal(text, &m); err != nil {
+				return fmt.Errorf("mark: %w", ErrSpoilt)
+			}
+			out[binary.BigEndian.Uint64(k)] = m
+			return nil
+		})
+	})
+	return out, err
+}
+
+// steps reads versions from one on, at most so many.
+func (s *store) steps(from uint64, most int) ([]rulebook.Step, error) {
+	var out []rulebook.Step
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(bucketVersions).Cursor()
+		for k, v := c.Seek(number(from)); k != nil && len(out) < most; k, v = c.Next() {
+			text, err := unsealed(k, v)
+			if err != nil {
+				return err
+			}
+			var step rulebook.Step
+			if err := json.Unmarshal(text, &step); err != nil {
+				return fmt.Errorf("version: %w", ErrSpoilt)
+			}
+			out = append(out, step)
+		}
+		return nil
+	})
+	return out, err
+}
+
+// state reads a record out of a snapshot.
+func decodeState(snap *pb.Snapshot) (*record.State, error) {
+	s := &record.State{}
+	if err := json.Unmarshal(snap.Data, s); err != nil || s.Book == nil {
+		return nil, fmt.Errorf("record in the snapshot: %w", ErrSpoilt)
+	}
+	return s, nil
+}
+
+func (s *store) close() error { return s.db.Close() }
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"merlinarch/internal/accord"
 	"merlinarch/internal/exchange"
 	"merlinarch/internal/gateway"
 	"merlinarch/logic"
@@ -67,13 +68,24 @@
 // exchange writes a request and waits for its answer. The outcome turns on the last byte: a break before it
 // is written proves that the request never ran, after it the request may have.
 func (p *Pool) exchange(ctx context.Context, h *host, c *conn, text []byte) gateway.Result {
-	r, written, err := c.roundTrip(ctx, text)
+	var pass *accord.Pass
+	if p.Gate != nil {
+		var refused error
+		name, born := p.life(h)
+		if pass, refused = p.Gate.Begin(name, born, c.giveUp); refused != nil {
+			p.give(h, c)
+			return gateway.Result{Outcome: logic.NotSent, Held: errors.Is(refused, accord.ErrNoLease)}
+		}
+	}
+	r, written, err := c.roundTrip(ctx, text, pass)
 	if err == nil && r.reusable {
 		p.give(h, c)
 	} else {
 		p.discard(c)
 	}
 	switch {
+	case !written && (errors.Is(err, accord.ErrNoLease) || errors.Is(err, accord.ErrCordoned)):
+		return gateway.Result{Outcome: logic.NotSent, Held: errors.Is(err, accord.ErrNoLease)}
 	case !written && ctx.Err() != nil: // given up: the host is not to blame
 		return gateway.Result{Outcome: logic.NotSent}
 	case !written:
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"merlinarch/internal/accord"
 	"merlinarch/internal/sock"
 )
 
@@ -55,11 +56,16 @@
 }
 
 // roundTrip writes a request and reads its answer, until ctx ends. written tells whether the request's last byte
-// was written.
-func (c *conn) roundTrip(ctx context.Context, text []byte) (r response, written bool, err error) {
+// was written. Nothing goes out without the pass, where there is one.
+func (c *conn) roundTrip(ctx context.Context, text []byte, pass *accord.Pass) (r response, written bool, err error) {
 	release := context.AfterFunc(ctx, c.giveUp)
-	n, err := c.raw.Write(text)
-	if written = n == len(text); err == nil && written {
+	if pass == nil {
+		n, e := c.raw.Write(text)
+		written, err = n == len(text), e
+	} else {
+		written, err = c.writeChecked(text, pass)
+	}
+	if err == nil && written {
 		r, err = c.read()
 	}
 	if !release() { // its deadline is over, or will be at any moment
@@ -68,6 +74,26 @@
 	return r, written, err
 }
 
+// piece is what is written between two looks at the rules and the lease.
+const piece = 4 << 10
+
+// writeChecked writes a request in pieces, each only while the rules and the lease allow it. Danger: the process may
+// stand still anywhere in here, and a host begins on a request with its last byte.
+func (c *conn) writeChecked(text []byte, pass *accord.Pass) (written bool, err error) {
+	defer pass.End()
+	for rest := text; len(rest) > 0; {
+		if err := pass.Still(); err != nil {
+			return false, err
+		}
+		m, err := c.raw.Write(rest[:min(piece, len(rest))])
+		if err != nil {
+			return false, err
+		}
+		rest = rest[m:]
+	}
+	return true, nil
+}
+
 // read reads one answer whole, interim ones skipped. Danger: half an answer passed on can't be repeated or failed
 // any more. Danger: one that claims more than it brings would hold its request until the time is over; once an
 // answer has begun, the rest has to follow. It hurts a host that pauses for longer within an answer.
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"merlinarch/internal/accord"
 	"merlinarch/internal/config"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/metrics"
@@ -26,6 +27,8 @@
 
 // Pool holds the connections to all servers.
 type Pool struct {
+	Gate *accord.Gate // passed by every attempt right before its bytes go out; nil: none. To be set before the first one
+
 	limits config.Limits
 	count  *metrics.Registry
 	ctx    context.Context
@@ -171,6 +174,13 @@
 	return h.replaced || drained || recalled
 }
 
+// life tells which life of which server a host is.
+func (p *Pool) life(h *host) (name string, born int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.Name, h.Born
+}
+
 // lookup finds a host.
 func (p *Pool) lookup(server logic.ServerID) *host {
 	p.mu.Lock()
--- a/logic/state.go
+++ b/logic/state.go
@@ -85,6 +85,24 @@
 	return r
 }
 
+// Retune takes other shares of tenants and worths of classes, from now on; what is not named is as the settings say.
+func (r *Router) Retune(shares, worth map[string]float64) {
+	for _, t := range r.s.Tenants {
+		part, ok := shares[t.Name]
+		if !ok {
+			part = t.Share
+		}
+		r.tenants[t.Name].part = part
+	}
+	for _, c := range r.s.Classes {
+		w, ok := worth[c.Name]
+		if !ok {
+			w = c.Worth
+		}
+		r.classes[c.Name].Worth = w
+	}
+}
+
 type class struct {
 	Class
 	took   float64     // mean time of served attempts in seconds, smoothed
