--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -231,6 +231,7 @@
 		var p *Problem
 		if errors.As(err, &p) && p.Code == CodeLife {
 			f.life, f.token = 0, rand.Text()
+			f.Gate.Lost()
 			f.count.Inc("accord.lives_replaced")
 		}
 		return err
--- a/internal/accord/gate.go
+++ b/internal/accord/gate.go
@@ -138,6 +138,13 @@
 	return g.holder.Granted(asked, version, length)
 }
 
+// Lost closes the gate until another lease is granted: the record knows this life no more.
+func (g *Gate) Lost() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder.Lost()
+}
+
 // Holds is the newest version that was taken in.
 func (g *Gate) Holds() uint64 {
 	g.mu.Lock()
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -111,14 +111,17 @@
 	return h.until - now, h.granted && now < h.until
 }
 
-// Conduct is what may be done now. A process that has taken in no version yet does nothing in either mode: what it
-// held in an earlier life may have been replaced, and its earlier life may have been reported as confirmed.
+// Lost notes that the record knows this life no more. Danger: whom the record does not name is waited for by nobody.
+func (h *Holder) Lost() { h.granted = false }
+
+// Conduct is what may be done now. A process that was granted no lease yet does nothing in either mode, whatever it has
+// heard of the rules: what it held in an earlier life may have been replaced, and a cordon may be confirmed without it.
 func (h *Holder) Conduct(now time.Duration) Conduct {
 	_, stands := h.Stands(now)
 	switch {
 	case stands:
 		return Full
-	case h.Mode == Serve && h.version > 0:
+	case h.Mode == Serve && h.granted:
 		return Stale
 	default:
 		return Nothing
@@ -234,3 +237,13 @@
 	}
 	return s.at, s.holds, true
 }
+
+// Clone is a copy that goes its own way.
+func (r *Roll) Clone() *Roll {
+	c := &Roll{terms: r.terms, begun: r.begun, seen: make(map[lifeKey]*seen, len(r.seen))}
+	for k, s := range r.seen {
+		x := *s
+		c.seen[k] = &x
+	}
+	return c
+}
--- /dev/null
+++ b/internal/decide/lease/lease_test.go
@@ -0,0 +1,117 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestTerms(t *testing.T) {
+	good := DefaultTerms()
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*Terms){
+		"no beat":      func(x *Terms) { x.Beat = 0 },
+		"short lease":  func(x *Terms) { x.Length = 2 * x.Beat },
+		"long shorter": func(x *Terms) { x.Longest = x.Length - 1 },
+		"drift":        func(x *Terms) { x.Drift = 0.5 },
+		"no send":      func(x *Terms) { x.Send = 0 },
+	} {
+		bad := good
+		if spoil(&bad); bad.Check() == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	if d := (Terms{Length: 3 * time.Second, Send: time.Second, Drift: 0.25}).Bound(); d != 5*time.Second {
+		t.Errorf("D is %v, want 3s/(1-0.25)+1s", d)
+	}
+}
+
+// However clocks run within their bounds, what a leader takes for over is over: the lease that it granted, and the send
+// that was checked at its last moment.
+func TestWaitOutlastsLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{Length: time.Duration(rapid.IntRange(1, 1e5).Draw(t, "ms")) * time.Millisecond,
+			Send: time.Duration(rapid.IntRange(1, 1e4).Draw(t, "send")) * time.Millisecond, Drift: rapid.Float64Range(0, 0.49).Draw(t, "drift")}
+		terms.Longest = terms.Length
+		rate := func(name string) float64 { return rapid.Float64Range(1-terms.Drift, 1+terms.Drift).Draw(t, name) }
+		holder, leader := rate("holder"), rate("leader")
+		transit := time.Duration(rapid.IntRange(0, 1e4).Draw(t, "transit")) * time.Millisecond // from the asking to its hearing
+		lastSend := time.Duration(float64(terms.Length)/holder) + terms.Send                   // after the asking, true time
+		roll := NewRoll(terms, 0)
+		heard := time.Duration(float64(transit) * leader)
+		roll.Asked(heard, "n", 1, 1, terms.Length)
+		members := map[string]Member{"n": {Life: 1, Mode: Hold}}
+		over := time.Duration(float64(lastSend)*leader) - time.Microsecond
+		if over > heard && len(roll.Missing(over, members, 2)) == 0 {
+			t.Fatalf("taken for over %v before the last send", over)
+		}
+		if lastSend > transit+terms.Bound() {
+			t.Fatalf("a send %v after it was heard, D is %v", lastSend-transit, terms.Bound())
+		}
+	})
+}
+
+func TestHolder(t *testing.T) {
+	h := Holder{Mode: Hold}
+	if h.Granted(0, 1, time.Second) || h.Conduct(0) != Nothing {
+		t.Error("a lease on a version that was not taken in counts")
+	}
+	h.Took(3)
+	if h.Granted(0, 4, time.Second) {
+		t.Error("a lease on a newer version counts")
+	}
+	if !h.Granted(10*time.Second, 3, time.Second) || h.Conduct(10*time.Second) != Full || h.Conduct(11*time.Second) != Nothing {
+		t.Error("a lease runs from its asking, and no longer")
+	}
+	if h.Granted(9*time.Second, 3, time.Second); h.Conduct(10500*time.Millisecond) != Full {
+		t.Error("an older answer shortens a lease")
+	}
+	s := Holder{Mode: Serve}
+	if s.Took(1); s.Conduct(0) != Nothing {
+		t.Error("serves before the record knows of it: a cordon may be confirmed without it")
+	}
+	if s.Granted(0, 1, time.Second); s.Conduct(time.Second) != Stale {
+		t.Error("does not serve on")
+	}
+	if s.Lost(); s.Conduct(time.Second) != Nothing {
+		t.Error("serves on in a life that was replaced")
+	}
+}
+
+func TestRoll(t *testing.T) {
+	terms := DefaultTerms()
+	members := map[string]Member{"a": {Life: 1, Mode: Hold}, "b": {Life: 3, Mode: Hold, Former: []uint64{2}}, "c": {Life: 4, Mode: Serve}}
+	names := func(at time.Duration, r *Roll, v uint64) (out string) {
+		for _, m := range r.Missing(at, members, v) {
+			out += m.Name
+		}
+		return out
+	}
+	begun := time.Hour
+	r := NewRoll(terms, begun)
+	if got := names(begun, r, 1); got != "abbc" {
+		t.Errorf("at the begin of a term %q: an earlier leader may have granted leases", got)
+	}
+	r.Asked(begun, "a", 1, 5, terms.Length)
+	r.Asked(begun, "c", 4, 5, terms.Length)
+	if got := names(begun, r, 5); got != "bb" {
+		t.Errorf("who told that it holds 5 is missing: %q", got)
+	}
+	if got := names(begun, r, 6); got != "abbc" {
+		t.Errorf("version 6: %q", got)
+	}
+	late := begun + terms.Wait(terms.Longest)
+	if got := names(late, r, 6); got != "c" {
+		t.Errorf("leases are over, and who serves on is missing: %q", got)
+	}
+	if got := r.Lapsed(late, members); len(got) != 1 || len(got["b"]) != 1 || got["b"][0] != 2 {
+		t.Errorf("lapsed %v", got)
+	}
+	r.Asked(late, "a", 1, 5, terms.Length) // asks, and is silent again
+	if got := names(late+terms.Wait(terms.Length)-1, r, 6); got != "ac" {
+		t.Errorf("an asking that was just heard may be granted: %q", got)
+	}
+}
--- /dev/null
+++ b/internal/decide/record/record_test.go
@@ -0,0 +1,178 @@
+package record
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/rulebook"
+)
+
+var terms = lease.DefaultTerms()
+
+func three() []cordon.Server {
+	return []cordon.Server{{Host: "a", Build: 1, Weight: 1}, {Host: "b", Build: 1, Weight: 1}, {Host: "c", Build: 1, Weight: 1}}
+}
+
+func (s *State) ask(term uint64, key string, c rulebook.Change) Result {
+	return s.Apply(Entry{Term: term, At: 1000, Ask: &rulebook.Ask{Key: key, Base: s.Book.Document.Head.Version, Author: "a", Reason: "r",
+		Changes: []rulebook.Change{c}, Evidence: three()}}, term)
+}
+
+func closing(host string, ms int64) rulebook.Change {
+	return rulebook.Change{Kind: rulebook.KindCordon, Cordon: &cordon.Target{Host: host}, For: ms}
+}
+
+func enrol(name, token string, m lease.Mode) Entry {
+	return Entry{Enrol: &Enrol{Name: name, Token: token, Mode: m}}
+}
+
+func (s *State) carry(t *testing.T, term uint64, w Watch) int {
+	t.Helper()
+	due := s.Due(w)
+	for _, e := range due {
+		e.Term, e.At = term, 1000
+		if r := s.Apply(e, term); r.Refused != "" {
+			t.Errorf("%+v: %s", e, r.Refused)
+		}
+	}
+	return len(due)
+}
+
+func TestConfirmLiftExpire(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	for i, name := range []string{"n0", "n1"} {
+		if r := s.Apply(enrol(name, "t", lease.Hold), 1); r.Life != uint64(i+1) {
+			t.Fatalf("%+v", r)
+		}
+	}
+	w := Watch{Roll: lease.NewRoll(terms, 0), Listed: three}
+	if r := s.ask(1, "1", closing("a", 5000)); r.Answer.Refused != "" || r.Step == nil {
+		t.Fatalf("%+v", r)
+	}
+	v := s.Agreed["a"]
+	w.Roll.Asked(0, "n0", 1, v, terms.Length)
+	if n := s.carry(t, 1, w); n != 0 || s.Cordons(w)[0].State != cordon.Reaching || s.Cordons(w)[0].Reached != 1 || len(s.Cordons(w)[0].Missing) != 1 {
+		t.Errorf("%d due, %+v", n, s.Cordons(w))
+	}
+	w.Roll.Asked(0, "n1", 2, v, terms.Length)
+	s.carry(t, 1, w)
+	if c := s.Cordons(w)[0]; c.State != cordon.Confirmed || c.Confirmed.Of != 2 || len(c.Confirmed.Lapsed) != 0 {
+		t.Errorf("%+v", c)
+	}
+	// Time counts towards its end, as it passes at the leader, whatever wall clocks say.
+	for range 3 {
+		w.Passed = 2 * time.Second
+		s.carry(t, 1, w)
+	}
+	w.Passed = 0
+	s.carry(t, 1, w)
+	if c := s.Cordons(w)[0]; c.State != cordon.Lifting || s.Book.Document.Waiting[0].Reason != "its time is over" {
+		t.Fatalf("%+v", c)
+	}
+	if _, ok := s.Confirmed["a"]; ok {
+		t.Error("a cordon about to be lifted is still told as confirmed")
+	}
+	v = s.Book.Ready()
+	w.Roll.Asked(0, "n0", 1, v, terms.Length)
+	if s.carry(t, 1, w); len(s.Cordons(w)) != 1 {
+		t.Error("lifted before all know")
+	}
+	w.Roll.Asked(0, "n1", 2, v, terms.Length)
+	if s.carry(t, 1, w); len(s.Cordons(w)) != 0 || len(s.Left) != 0 || len(s.Agreed) != 0 {
+		t.Errorf("not lifted: %+v", s)
+	}
+}
+
+// What a leader judged counts only in its own term, and only for the cordon that it judged.
+func TestJudgedInAnotherTerm(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	s.ask(1, "1", closing("a", 0))
+	confirm := Entry{Term: 1, Confirm: &Confirm{Cordon: "a", Version: 2}}
+	if r := s.Apply(confirm, 2); r.Refused == "" || len(s.Confirmed) != 0 {
+		t.Errorf("%+v", r)
+	}
+	s.ask(1, "2", rulebook.Change{Kind: rulebook.KindLift, Name: "a"})
+	if r := s.Apply(confirm, 1); r.Refused == "" {
+		t.Error("confirmed while it is lifted")
+	}
+	s.Apply(Entry{Term: 1, Open: &Open{Version: 3}}, 1)
+	s.ask(1, "3", closing("a", 0))
+	if r := s.Apply(confirm, 1); r.Refused == "" {
+		t.Error("a confirmation of the earlier cordon counts for the later one")
+	}
+}
+
+func TestEnrolRetire(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	one := s.Apply(enrol("n", "t1", lease.Serve), 1)
+	if again := s.Apply(enrol("n", "t1", lease.Serve), 1); again.Life != one.Life {
+		t.Errorf("a repeat gets another life: %d, %d", one.Life, again.Life)
+	}
+	if two := s.Apply(enrol("n", "t2", lease.Serve), 1); two.Life == one.Life || len(s.Members["n"].Former) != 1 {
+		t.Errorf("%+v", s.Members["n"])
+	}
+	if r := s.Apply(Entry{Retire: &Retire{Name: "n", Author: "a", Reason: "r"}}, 1); r.Refused == "" {
+		t.Error("one that serves without a lease is retired without force")
+	}
+	if r := s.Apply(Entry{Retire: &Retire{Name: "n", Author: "a", Reason: "r", Forced: true}}, 1); r.Refused != "" || len(s.Members["n"].Former) != 2 {
+		t.Errorf("%+v %+v", r, s.Members["n"])
+	}
+	roll := lease.NewRoll(terms, 0)
+	lapsed := roll.Lapsed(terms.Wait(terms.Longest), s.Members)
+	s.Apply(Entry{Term: 1, Forget: &Forget{Lives: lapsed}}, 1)
+	if _, ok := s.Members["n"]; ok {
+		t.Errorf("still there: %+v", s.Members["n"])
+	}
+	for i := range lease.Formers + 1 {
+		if r := s.Apply(enrol("m", string(rune('a'+i)), lease.Hold), 1); r.Refused != "" {
+			t.Fatalf("life %d: %s", i, r.Refused)
+		}
+	}
+	if r := s.Apply(enrol("m", "one more", lease.Hold), 1); r.Refused == "" {
+		t.Error("former lives without bound")
+	}
+}
+
+func TestAutomaticCordon(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	sick := []cordon.Report{{Host: "a", Answered: 20, Erred: 20}, {Host: "b", Answered: 20}, {Host: "c", Answered: 20}}
+	w := Watch{Roll: lease.NewRoll(terms, 0), Listed: three, Auto: cordon.Auto{Agreeing: 2, Most: 1, Share: 0.5, Least: 10},
+		Reports: map[string][]cordon.Report{"n0": sick, "n1": sick}}
+	s.carry(t, 1, w)
+	if o := s.Book.Document.Rules.Cordons["a"]; !o.Auto || o.Author != "registrar" {
+		t.Errorf("%+v", s.Book.Document.Rules)
+	}
+}
+
+func TestDecode(t *testing.T) {
+	text, err := json.Marshal(enrol("n", "t", lease.Hold))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e, err := Decode(text); err != nil || e.Enrol == nil {
+		t.Errorf("%+v %v", e, err)
+	}
+	if _, err := Decode([]byte(`{"term":1,"conjure":{}}`)); err == nil {
+		t.Error("an entry of a later program is passed over unseen")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"term":1,"open":{"version":3}}`))
+	f.Add([]byte(`{"ask":{"key":"k","base":1,"author":"a","reason":"r","changes":[{"kind":"cordon"}]}}`))
+	f.Add([]byte(`{"enrol":{"name":"n","token":"t","mode":"hold"}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		e, err := Decode(text)
+		if err != nil {
+			return
+		}
+		s := New(cordon.DefaultBudget(), 1000)
+		r := s.Apply(e, e.Term)
+		if d := s.Book.Document; !d.Genuine() || r.Step != nil && r.Step.Head.Version != d.Head.Version {
+			t.Errorf("%s leaves %+v", text, d)
+		}
+	})
+}
--- a/internal/decide/rulebook/rulebook.go
+++ b/internal/decide/rulebook/rulebook.go
@@ -609,3 +609,10 @@
 	}
 	return nil
 }
+
+// Clone is a copy that goes its own way.
+func (b *Book) Clone() *Book {
+	c := *b
+	c.Answers, c.byKey = slices.Clone(b.Answers), nil
+	return &c
+}
--- /dev/null
+++ b/internal/decide/rulebook/rulebook_test.go
@@ -0,0 +1,250 @@
+package rulebook
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/logic"
+)
+
+func ask(b *Book, key string, changes ...Change) Ask {
+	return Ask{Key: key, Base: b.Document.Head.Version, Author: "a", Reason: "r", Changes: changes, Evidence: servers(8)}
+}
+
+func servers(n int) (out []cordon.Server) {
+	for i := range n {
+		out = append(out, cordon.Server{Host: fmt.Sprintf("s%d", i), Site: "x", Build: 1, Weight: 1})
+	}
+	return out
+}
+
+func closing(host string) Change { return Change{Kind: KindCordon, Cordon: &cordon.Target{Host: host}} }
+
+func value(kind Kind, name string, v float64) Change {
+	return Change{Kind: kind, Name: name, Value: &v}
+}
+
+func TestNarrowingAtOnceWideningWaits(t *testing.T) {
+	b := New(cordon.DefaultBudget(), 1000)
+	if a := b.Ask(ask(b, "1", closing("s0")), 10); a.Refused != "" || a.Version != 2 || a.Waits != 0 {
+		t.Fatalf("%+v", a)
+	}
+	v := NewView(b.Document)
+	if v.Open("s0", 5) || !v.Open("s1", 5) || v.State("s0", 5, logic.Ready) != logic.Draining {
+		t.Error("a cordon is not in force with its version")
+	}
+	if a := b.Ask(ask(b, "2", Change{Kind: KindLift, Name: "s0"}), 20); a.Waits != 1 || NewView(b.Document).Open("s0", 5) {
+		t.Errorf("%+v: lifted before all know", a)
+	}
+	if b.Ready() != 3 {
+		t.Errorf("ready %d", b.Ready())
+	}
+	if err := b.Open(2, 30); err != ErrNothing {
+		t.Errorf("opened what an older version did not announce: %v", err)
+	}
+	if err := b.Open(3, 30); err != nil || !NewView(b.Document).Open("s0", 5) || b.Document.Head.Opens != 3 || NewView(b.Document).LiftedAt("s0") != 30 {
+		t.Errorf("not lifted: %v %+v", err, b.Document)
+	}
+	b.Ask(ask(b, "3", value(KindCeiling, "", 0.3)), 5000)
+	if b.Document.Rules.Lifted != nil {
+		t.Error("a lifting of long ago is kept")
+	}
+	b.Ask(ask(b, "4", value(KindCeiling, "", 0.5)), 6000)
+	if got := *b.Document.Rules.Ceiling; got != 0.3 {
+		t.Errorf("a higher ceiling is in force at once: %g", got)
+	}
+	b.Ask(ask(b, "5", value(KindCeiling, "", 0.1)), 7000)
+	if got := *b.Document.Rules.Ceiling; got != 0.1 || b.Ready() != 0 {
+		t.Errorf("a lower ceiling: %g, still waiting %d", got, b.Ready())
+	}
+}
+
+// A mixed asking is split: what narrows holds at once, the rest waits.
+func TestMixedIsSplit(t *testing.T) {
+	b := New(cordon.DefaultBudget(), 1000)
+	a := b.Ask(ask(b, "1", Change{Kind: KindFreeze}, value(KindTenant, "acme", 0.7), Change{Kind: KindExpect, Name: "n0"}), 10)
+	if a.Waits != 1 || b.Document.Rules.Freeze == nil || len(b.Document.Rules.Tenants) != 0 || len(b.Document.Rules.Expected) != 1 {
+		t.Errorf("%+v %+v", a, b.Document)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	b := New(cordon.DefaultBudget(), 1000)
+	nan := value(KindTenant, "acme", 0)
+	*nan.Value = -1
+	for name, c := range map[string]struct {
+		ask  Ask
+		code string
+	}{
+		"no key":       {Ask{Base: 1, Author: "a", Reason: "r", Changes: []Change{{Kind: KindFreeze}}}, RefusedWrong},
+		"no reason":    {Ask{Key: "ka", Base: 1, Author: "a", Changes: []Change{{Kind: KindFreeze}}}, RefusedWrong},
+		"old base":     {Ask{Key: "kb", Base: 0, Author: "a", Reason: "r", Changes: []Change{{Kind: KindFreeze}}}, RefusedStale},
+		"nothing":      {ask(b, "k1"), RefusedWrong},
+		"odd kind":     {ask(b, "k2", Change{Kind: "dance"}), RefusedWrong},
+		"negative":     {ask(b, "k3", nan), RefusedWrong},
+		"lift nothing": {ask(b, "k4", Change{Kind: KindLift, Name: "s0"}), RefusedWrong},
+		"one wrong":    {ask(b, "k5", closing("s0"), Change{Kind: KindWithdraw, Name: "x"}), RefusedWrong},
+		"budget":       {ask(b, "k6", closing("s0"), closing("s1"), closing("s2")), RefusedBudget},
+		"not listed":   {ask(b, "k7", closing("s99")), RefusedBudget},
+	} {
+		if a := b.Ask(c.ask, 1); a.Refused != c.code || a.Version != 1 || b.Document.Head.Version != 1 {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+	forced := ask(b, "k8", closing("s0"), closing("s1"), closing("s2"))
+	forced.Forced = true
+	if a := b.Ask(forced, 1); a.Refused != "" || !b.Document.Rules.Cordons["s2"].Forced || b.Document.Rules.Cordons["s2"].Author != "a" {
+		t.Errorf("forced: %+v %+v", a, b.Document.Rules.Cordons)
+	}
+}
+
+// A repeat gets the first answer, also one that was refused; another asking under its key does not.
+func TestRepeat(t *testing.T) {
+	b := New(cordon.DefaultBudget(), 1000)
+	first := ask(b, "k", closing("s0"))
+	a := b.Ask(first, 1)
+	b.Ask(ask(b, "other", closing("s1")), 1)
+	first.Evidence = nil // the leader's own
+	if again := b.Ask(first, 2); again != a || b.Document.Head.Version != 3 {
+		t.Errorf("%+v, first %+v", again, a)
+	}
+	if wrong := b.Ask(ask(b, "k", closing("s2")), 3); wrong.Refused != RefusedKey {
+		t.Errorf("%+v", wrong)
+	}
+	text, err := json.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read Book
+	if err := json.Unmarshal(text, &read); err != nil {
+		t.Fatal(err)
+	}
+	if again := read.Ask(first, 2); again != a {
+		t.Errorf("after a restart %+v, first %+v", again, a)
+	}
+	for i := range keptKeys + 10 {
+		b.Ask(Ask{Key: fmt.Sprint(i), Base: 1, Author: "a", Reason: "r", Changes: []Change{{Kind: KindFreeze}}}, 1)
+	}
+	if len(b.Answers) > keptKeys || len(b.byKey) != len(b.Answers) {
+		t.Errorf("%d answers kept, %d by key", len(b.Answers), len(b.byKey))
+	}
+}
+
+// The document of the largest size is taken, one byte more is not.
+func TestLargest(t *testing.T) {
+	fill := func(last int) (Answer, int) {
+		b := New(cordon.DefaultBudget(), 1000)
+		n := 0
+		for i := 0; ; i++ {
+			text, _ := json.Marshal(struct {
+				Rules   Rules
+				Waiting []Waiting
+			}{b.Document.Rules, b.Document.Waiting})
+			left := MaxRules - len(text)
+			name, at := strings.Repeat("x", 400), int64(1000)
+			if left < 1200 { // `,"NAME":{"author":"a","reason":"r","since_ms":1000}` takes 50 bytes round the name
+				probe := New(cordon.DefaultBudget(), 1000)
+				probe.Document.Rules.Expected = map[string]Note{"q": {"a", "r", at}, "r": {"a", "r", at}}
+				two, _ := json.Marshal(probe.Document.Rules.Expected)
+				delete(probe.Document.Rules.Expected, "r")
+				one, _ := json.Marshal(probe.Document.Rules.Expected)
+				each := len(two) - len(one) - 1
+				if left > 512+each { // two more
+					name = strings.Repeat("y", (left-2*each)/2)
+				} else {
+					name = strings.Repeat("z", left-each+last)
+					a := b.Ask(ask(b, fmt.Sprint("k", i), Change{Kind: KindExpect, Name: name}), at)
+					text, _ = json.Marshal(struct {
+						Rules   Rules
+						Waiting []Waiting
+					}{b.Document.Rules, b.Document.Waiting})
+					return a, len(text)
+				}
+			} else {
+				name = fmt.Sprintf("%s%05d", name, i)
+			}
+			if a := b.Ask(ask(b, fmt.Sprint("k", i), Change{Kind: KindExpect, Name: name}), at); a.Refused != "" {
+				t.Fatalf("%+v with %d left", a, left)
+			}
+			n++
+		}
+	}
+	if a, size := fill(0); a.Refused != "" || size != MaxRules {
+		t.Errorf("%+v of %d bytes", a, size)
+	}
+	if a, _ := fill(1); a.Refused != RefusedLarge {
+		t.Errorf("one byte more: %+v", a)
+	}
+}
+
+// Whole versions are read back from the steps; a step that was changed is found out.
+func TestFollow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(cordon.Budget{Share: 1}, 50)
+		d := b.Document
+		for i := range rapid.IntRange(1, 30).Draw(t, "asks") {
+			at := int64(i * 20)
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				b.Ask(ask(b, fmt.Sprint(i), closing(fmt.Sprintf("s%d", rapid.IntRange(0, 7).Draw(t, "host")))), at)
+			case 1:
+				b.Ask(ask(b, fmt.Sprint(i), Change{Kind: KindLift, Name: fmt.Sprintf("s%d", rapid.IntRange(0, 7).Draw(t, "host"))}), at)
+			case 2:
+				b.Ask(ask(b, fmt.Sprint(i), value(KindTenant, "acme", float64(i))), at)
+			case 3:
+				b.Ask(ask(b, fmt.Sprint(i), value(KindCeiling, "", 1/float64(i+1)), Change{Kind: KindFreeze}), at)
+			default:
+				if v := b.Ready(); v > 0 {
+					b.Open(v, at)
+				}
+			}
+			if b.Document.Head.Version == d.Head.Version {
+				continue
+			}
+			step := b.Last()
+			next, err := Follow(d, step, 50)
+			if err != nil || next.Head.Hash != b.Document.Head.Hash {
+				t.Fatalf("version %d: %v", step.Head.Version, err)
+			}
+			step.Head.Reason = "another"
+			if _, err := Follow(d, step, 50); err == nil {
+				t.Fatal("a changed step is taken")
+			}
+			if _, err := Follow(next, b.Last(), 50); err == nil {
+				t.Fatal("a step is taken twice")
+			}
+			d = next
+		}
+	})
+}
+
+func TestView(t *testing.T) {
+	b := New(cordon.DefaultBudget(), 1000)
+	b.Ask(ask(b, "1", value(KindCeiling, "", 0.2), Change{Kind: KindFreeze}), 1)
+	v := NewView(b.Document)
+	trial := logic.ReleaseStatus{Build: 2, Phase: logic.OnTrial, Cap: 0.5}
+	if v.Release(trial, lease.Full).Cap != 0.2 || v.Release(trial, lease.Stale).Cap != 0 {
+		t.Error("the ceiling does not bind")
+	}
+	done := logic.ReleaseStatus{Build: 2, Phase: logic.Released, Cap: 1}
+	if v.Release(done, lease.Stale) != done {
+		t.Error("a released build is narrowed")
+	}
+	on, back := logic.Vote{Verdict: logic.VoteOn}, logic.Vote{Verdict: logic.VoteBack}
+	if v.Vote(on, lease.Full).Verdict != logic.VoteHold || v.Vote(back, lease.Full) != back {
+		t.Error("votes during a freeze")
+	}
+	free := NewView(New(cordon.DefaultBudget(), 1).Document)
+	if free.Vote(on, lease.Full) != on || free.Vote(on, lease.Nothing).Verdict != logic.VoteHold {
+		t.Error("votes without a lease")
+	}
+	if got := Unknown(b.Document, []string{"freeze"}); len(got) != 1 || got[0] != "ceiling" {
+		t.Errorf("not understood: %v", got)
+	}
+}
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -128,7 +128,7 @@
 		f.set.GetOrCreateCounter(`registrar_messages_refused_total{why="stranger"}`).Inc()
 		return accord.NewProblem(accord.CodeWrong, "no registrar of this name is known")
 	}
-	in := received{boots: p.Boots}
+	in := received{from: p.From, id: p.FromID, boots: p.Boots}
 	for _, text := range p.Messages {
 		m := &pb.Message{}
 		if err := proto.Unmarshal(text, m); err != nil || m.GetFrom() != p.FromID || m.GetTo() != f.id.ID {
--- a/internal/registrar/members.go
+++ b/internal/registrar/members.go
@@ -83,7 +83,7 @@
 		n.inbox.put(failure{fmt.Errorf("entry %d of the log: a change of registrars that can't be read", e.GetIndex())})
 		return
 	}
-	n.conf = n.rn.ApplyConfChange(&c)
+	n.conf, n.confChanged = n.rn.ApplyConfChange(&c), true
 	if len(c.Context) == 0 { // the library leaves a joint configuration
 		return
 	}
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -47,8 +47,11 @@
 	lastTerm  uint64 // of the entry carried out last
 	conf      *pb.ConfState
 	snapIndex uint64
-	marks     map[uint64]Mark // as they will be on the disk
-	marked    bool            // they have changed
+	// The registrars have changed since the last snapshot. Danger: one that joins is sent the last one, and takes no
+	// record that does not name it.
+	confChanged bool
+	marks       map[uint64]Mark // as they will be on the disk
+	marked      bool            // they have changed
 
 	term    uint64
 	lead    uint64
@@ -58,6 +61,7 @@
 	lists   map[string]list
 	reports map[string][]cordon.Report
 	unknown map[string][]string
+	led     time.Duration // since when
 	counted time.Duration // time was last counted towards expiries
 	dirty   bool          // what is due may have changed
 	due     int           // entries that are on their way
@@ -91,6 +95,8 @@
 // Messages to the node.
 type (
 	received struct { // from another registrar
+		from     string
+		id       uint64
 		messages []*pb.Message
 		boots    uint64
 	}
@@ -221,6 +227,9 @@
 			n.failBeats("leadership can't be proved: the others do not answer")
 		}
 	case received:
+		if len(n.state.Registrars) == 0 {
+			n.peers.learn(m.from, m.id)
+		}
 		for _, x := range m.messages {
 			n.see(x, m.boots)
 			if err := n.rn.Step(x); err != nil {
@@ -308,7 +317,9 @@
 			for _, r := range m.Responses {
 				n.deliver(r)
 			}
-			n.snapshot()
+			if n.applied >= n.snapIndex+snapshotEvery || n.confChanged {
+				n.snapshot()
+			}
 		default:
 			n.peers.send(m)
 		}
@@ -355,7 +366,7 @@
 	if leads && (!n.leading || n.term != status.GetTerm()) {
 		now := n.opts.Clock.Now()
 		n.roll = lease.NewRoll(n.opts.Terms, now)
-		n.counted, n.settled, n.due = now, false, 0
+		n.led, n.counted, n.settled, n.due = now, now, false, 0
 		n.lists, n.reports, n.unknown = map[string]list{}, map[string][]cordon.Report{}, map[string][]string{}
 		n.log.Info("leads", zap.Uint64("term", status.GetTerm()))
 		n.set.GetOrCreateCounter("registrar_elections_won_total").Inc()
@@ -446,10 +457,7 @@
 
 // snapshot writes the record whole once in a while, so that the log stays short.
 func (n *node) snapshot() {
-	if n.applied < n.snapIndex+snapshotEvery {
-		return
-	}
-	n.snapIndex = n.applied
+	n.snapIndex, n.confChanged = n.applied, false
 	text, err := json.Marshal(n.state)
 	if err != nil {
 		n.inbox.put(failure{fmt.Errorf("record: %w", err)})
@@ -559,7 +567,11 @@
 	if e.Ask != nil && e.Ask.Author != "" {
 		e.Ask.Evidence = nil
 		if slices.ContainsFunc(e.Ask.Changes, func(c rulebook.Change) bool { return c.Kind == rulebook.KindCordon }) {
-			e.Ask.Evidence = n.listed()
+			// Danger: a leader that has just been chosen has heard no list yet, and would hold every server for unknown.
+			if e.Ask.Evidence = n.listed(); len(n.lists) == 0 && n.opts.Clock.Now() < n.led+n.opts.Terms.Length {
+				reply(accord.NewProblem(accord.CodeBusy, "no dispatcher has told this leader of the servers yet"))
+				return
+			}
 		}
 		if p := n.notUnderstood(e.Ask); p != nil {
 			reply(p)
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -21,6 +21,7 @@
 	maxRaftBody = 64 << 20 // a snapshot, as text
 	maxQueued   = 512      // messages for one registrar; beyond, they are dropped, and sent anew by the protocol
 	maxTogether = 128      // in one body
+	maxLearnt   = 16       // registrars in all, with those that the record does not name yet
 )
 
 // parcel is what one registrar sends another. Danger: an address may have gone over to another cluster, or to another
@@ -81,10 +82,7 @@
 		if p.all[r.ID] != nil || p.ctx.Err() != nil {
 			continue
 		}
-		ctx, stop := context.WithCancel(p.ctx)
-		q := &peer{name: name, addr: p.address(name, r.Addr), id: r.ID, stop: stop, queue: make(chan *pb.Message, maxQueued)}
-		p.all[r.ID] = q
-		p.work.Go(func() { p.run(ctx, q) })
+		p.start(name, p.address(name, r.Addr), r.ID)
 	}
 	for id, q := range p.all {
 		if !wanted[id] {
@@ -94,6 +92,25 @@
 	}
 }
 
+// learn makes a way to a registrar that has written, where the record does not name it yet: one that joins has to answer
+// before it has the record.
+func (p *peers) learn(name string, id uint64) {
+	addr, ok := p.opts.Registrars[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ok && p.all[id] == nil && len(p.all) < maxLearnt && p.ctx.Err() == nil {
+		p.start(name, addr, id)
+	}
+}
+
+// start is called under the lock.
+func (p *peers) start(name, addr string, id uint64) {
+	ctx, stop := context.WithCancel(p.ctx)
+	q := &peer{name: name, addr: addr, id: id, stop: stop, queue: make(chan *pb.Message, maxQueued)}
+	p.all[id] = q
+	p.work.Go(func() { p.run(ctx, q) })
+}
+
 // send queues a message. Losing one is harmless: the protocol sends anew.
 func (p *peers) send(m *pb.Message) {
 	p.mu.Lock()
