--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -5,12 +5,16 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,7 +23,9 @@
 	"merlinarch/internal/config"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/pace"
+	"merlinarch/internal/decide/record"
 	"merlinarch/internal/discovery"
+	"merlinarch/internal/exchange"
 	"merlinarch/internal/features"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/ledger"
@@ -82,6 +88,7 @@
 	var rules *accord.Follower
 	if f.Accord.On() {
 		rules = accord.NewFollower(followerOptions(f.Accord, c), gw, gw.UseRules(c.Settings.ColdTime), count, log)
+		rules.Printer = printer{gw, c.Limits.MaxWait}
 		pool.Gate = rules.Gate
 		work.Go(func() { rules.Run(ctx) })
 	}
@@ -145,10 +152,48 @@
 	return err
 }
 
+// printer carries out planned work as an ordinary request: through the exchange and the module.
+type printer struct {
+	gateway *gateway.Gateway
+	longest time.Duration
+}
+
+// Print sends a piece of work under its key, with the fence of this claim, and tells whether the receiver has it.
+func (p printer) Print(ctx context.Context, t record.Task) bool {
+	until := time.Now().Add(min(p.longest, max(time.Second, 4*time.Duration(t.Work.TookMs*float64(time.Millisecond)))))
+	if latest := time.UnixMilli(t.Work.Latest); latest.Before(until) {
+		until = latest
+	}
+	joint := "?"
+	if strings.Contains(t.Work.Target, "?") {
+		joint = "&"
+	}
+	ex := exchange.New(exchange.Message{Method: http.MethodPost, Target: t.Work.Target + joint + "fence=" + strconv.FormatUint(t.Fence, 10),
+		ID: fmt.Sprintf("%s-%d", t.Dispatch, t.Fence), DedupKey: "dispatch-" + t.Dispatch, Body: []byte(t.Work.Body)},
+		exchange.Fields{Class: t.Work.Class, Zone: t.Work.Site}, until)
+	ex.Planned = t.Dispatch
+	if p.gateway.Submit(ex) != nil {
+		return false
+	}
+	over := time.NewTimer(time.Until(until))
+	defer over.Stop()
+	select {
+	case <-ex.Done():
+	case <-over.C:
+	case <-ctx.Done():
+	}
+	if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
+		p.gateway.Left(ex)
+	}
+	a := ex.Answer()
+	defer a.Release()
+	return a.Status == exchange.Served
+}
+
 // followerOptions are the accord's, for this router.
 func followerOptions(a features.Accord, c config.Config) accord.Options {
 	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.Mode),
-		Terms: a.Terms(), Clock: accord.Clock{Rate: a.ClockRate}, Seed: c.Seed, Reporting: a.Auto.Agreeing > 0}
+		Terms: a.Terms(), Step: a.ClockStep, Clock: accord.Clock{Rate: a.ClockRate}, Seed: c.Seed, Reporting: a.Auto.Agreeing > 0}
 }
 
 // move goes over to the addresses that the configuration file names now. A file that can't be used changes nothing.
--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -15,9 +15,11 @@
 
 	"go.uber.org/zap"
 
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/pace"
+	"merlinarch/internal/decide/record"
 	"merlinarch/internal/decide/rulebook"
 	"merlinarch/internal/metrics"
 )
@@ -32,10 +34,13 @@
 	Terms      lease.Terms
 	Clock      Clock
 	Seed       uint64
-	Knows      []string // kinds of rules; nil: all that this program has
-	Reporting  bool     // what servers answer is told with each beat
+	Knows      []string      // kinds of rules; nil: all that this program has
+	Step       time.Duration // of the wall clock, for tests
+	Reporting  bool          // what servers answer is told with each beat
 }
 
+func (o Options) unix() time.Time { return time.Now().Add(o.Step) }
+
 // Sink is where the decisions hear of the rules.
 type Sink interface {
 	// Ruled returns once the decisions know of a version, or of another conduct; an error tells that they have ended.
@@ -48,11 +53,20 @@
 	Listed() (servers []cordon.Server, sum string)
 	// Reports is what servers have answered of late.
 	Reports() []cordon.Report
+	// Met is what came of attempts at each site of late.
+	Met() []contact.Evidence
+}
+
+// Printer carries out planned work, through the same decisions as any request. It tells whether the receiver has it for
+// certain; ctx ends with the dispatcher.
+type Printer interface {
+	Print(ctx context.Context, t record.Task) (done bool)
 }
 
 // Follower is the task that owns a dispatcher's view of the record.
 type Follower struct {
-	Gate *Gate
+	Gate    *Gate
+	Printer Printer // nil: claims are told back as failed; to be set before Run
 
 	opts   Options
 	sink   Sink
@@ -63,7 +77,10 @@
 	names  []string // of registrars, in order
 	token  string   // of this life
 
-	news chan rulebook.Document
+	news  chan rulebook.Document
+	ended chan record.Ended
+	tasks map[uint64]*record.Ended // by fence: what became of each; nil while it runs
+	work  sync.WaitGroup
 
 	life     uint64
 	leader   int // index into names: whom to ask next
@@ -82,7 +99,7 @@
 	f := &Follower{Gate: NewGate(o.Mode, o.Clock, count), opts: o, sink: sink, fleet: fleet, count: count, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2,
 			IdleConnTimeout: 10 * o.Terms.Beat}},
-		names: slices.Sorted(maps.Keys(o.Registrars)), token: rand.Text(), news: make(chan rulebook.Document, 1), conduct: lease.Nothing}
+		names: slices.Sorted(maps.Keys(o.Registrars)), token: rand.Text(), news: make(chan rulebook.Document, 1), ended: make(chan record.Ended), tasks: map[uint64]*record.Ended{}, conduct: lease.Nothing}
 	f.leader = int(o.Seed % uint64(len(f.names)))
 	return f
 }
@@ -92,6 +109,7 @@
 	var work sync.WaitGroup
 	defer f.client.CloseIdleConnections()
 	defer work.Wait()
+	defer f.work.Wait()
 	// Danger: all dispatchers start in one moment after a loss of power, and each asks for a life, which costs the
 	// registrars a write to their disks. Each has a place of its own within a beat.
 	p := pace.New(pace.Rule{First: f.opts.Terms.Beat / 4, Last: f.opts.Terms.Beat, Window: 0, Seed: f.opts.Seed}, false)
@@ -128,6 +146,8 @@
 		select {
 		case <-ctx.Done():
 		case <-next.C:
+		case e := <-f.ended:
+			f.tasks[e.Fence] = &e
 		case d := <-f.news:
 			f.count.Inc("accord.news")
 			if f.take(ctx, d) == nil && f.life != 0 {
@@ -220,9 +240,15 @@
 	if b.List = sum; f.wantList {
 		b.Listed = servers
 	}
+	b.Unix, b.Met = f.opts.unix().UnixMilli(), f.fleet.Met()
 	if f.opts.Reporting {
 		b.Reports = f.fleet.Reports()
 	}
+	for _, fence := range slices.Sorted(maps.Keys(f.tasks)) {
+		if e := f.tasks[fence]; e != nil {
+			b.Ended = append(b.Ended, *e)
+		}
+	}
 	// Danger: a lease runs from here. What the network, the registrars or a stop of this process take until the answer
 	// is read is time in which others may have agreed on something newer.
 	asked := f.opts.Clock.Now()
@@ -246,6 +272,7 @@
 		return fmt.Errorf("a lease on version %d, while version %d is held", g.Version, f.Gate.Holds())
 	}
 	f.count.Inc("accord.beats")
+	f.carryOut(ctx, g.Tasks)
 	if g.Document != nil { // what was taken in counts for others once it is told
 		f.behave(ctx)
 		return f.beat(ctx)
@@ -253,6 +280,27 @@
 	return nil
 }
 
+// carryOut begins the claims that are new, and forgets those that the record has taken back or knows to have ended.
+func (f *Follower) carryOut(ctx context.Context, tasks []record.Task) {
+	listed := map[uint64]bool{}
+	for _, t := range tasks {
+		listed[t.Fence] = true
+		if _, known := f.tasks[t.Fence]; known {
+			continue
+		}
+		f.tasks[t.Fence] = nil
+		f.count.Inc("accord.tasks")
+		f.work.Go(func() {
+			done := f.Printer != nil && f.Printer.Print(ctx, t)
+			select {
+			case f.ended <- record.Ended{Dispatch: t.Dispatch, Fence: t.Fence, Done: done}:
+			case <-ctx.Done():
+			}
+		})
+	}
+	maps.DeleteFunc(f.tasks, func(fence uint64, e *record.Ended) bool { return e != nil && !listed[fence] })
+}
+
 // call asks whom it takes for the leader, and learns who is.
 func (f *Follower) call(ctx context.Context, path string, in, out any) error {
 	ctx, stop := context.WithTimeout(ctx, f.opts.Terms.Beat)
--- a/internal/accord/gate.go
+++ b/internal/accord/gate.go
@@ -13,8 +13,9 @@
 
 // Reasons why an attempt may not start.
 var (
-	ErrNoLease  = errors.New("no lease on the rules stands")
-	ErrCordoned = errors.New("the server is cordoned")
+	ErrNoLease   = errors.New("no lease on the rules stands")
+	ErrCordoned  = errors.New("the server is cordoned")
+	ErrWithdrawn = errors.New("the planned work was withdrawn")
 )
 
 // Gate is what every attempt passes right before its bytes go out. Its methods are safe for use by several goroutines.
@@ -39,30 +40,40 @@
 	gate    *Gate
 	host    string
 	born    int64
+	planned string
 	version uint64 // under which it began
 	abort   func()
 }
 
-// Begin lets an attempt to one life of a server start, or tells why it may not. abort breaks off its writing; it is
-// called when a version comes that forbids what is still being written. End has to follow.
-func (g *Gate) Begin(host string, born int64, abort func()) (*Pass, error) {
+// Begin lets an attempt to one life of a server start, or tells why it may not; planned is the name of the planned work
+// that it is for, empty for a client's request. abort breaks off its writing; it is called when a version comes that
+// forbids what is still being written. End has to follow.
+func (g *Gate) Begin(host string, born int64, planned string, abort func()) (*Pass, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.allows(host, born); err != nil {
+	if err := g.allows(host, born, planned); err != nil {
 		return nil, err
 	}
-	p := &Pass{gate: g, host: host, born: born, version: g.view.Version(), abort: abort}
+	p := &Pass{gate: g, host: host, born: born, planned: planned, version: g.view.Version(), abort: abort}
 	g.passes[p] = struct{}{}
 	return p, nil
 }
 
 // allows is called under the lock. The clock is read here, at the last moment: the process may have stood still since
 // the attempt was decided, or since it got its connection.
-func (g *Gate) allows(host string, born int64) error {
-	if g.view == nil || g.holder.Conduct(g.clock.Now()) == lease.Nothing {
+func (g *Gate) allows(host string, born int64, planned string) error {
+	c := lease.Nothing
+	if g.view != nil {
+		c = g.holder.Conduct(g.clock.Now())
+	}
+	if c == lease.Nothing || planned != "" && c != lease.Full {
 		g.count.Inc("accord.held_back")
 		return ErrNoLease
 	}
+	if planned != "" && !g.view.Planned(planned) {
+		g.count.Inc("accord.withdrawn")
+		return ErrWithdrawn
+	}
 	if !g.view.Open(host, born) {
 		g.count.Inc("accord.cordoned")
 		return ErrCordoned
@@ -75,7 +86,7 @@
 func (p *Pass) Still() error {
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
-	return p.gate.allows(p.host, p.born)
+	return p.gate.allows(p.host, p.born, p.planned)
 }
 
 // End tells that nothing more of the attempt will be written.
@@ -113,7 +124,7 @@
 	done := make(chan struct{})
 	g.empty = done
 	for p := range g.passes {
-		if !v.Open(p.host, p.born) {
+		if !v.Open(p.host, p.born) || p.planned != "" && !v.Planned(p.planned) {
 			g.count.Inc("accord.broken_off")
 			p.abort()
 		}
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -17,6 +17,7 @@
 	"io"
 	"net/http"
 
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/record"
@@ -65,6 +66,10 @@
 	List    string          `json:"list,omitempty"`    // a sum over Listed
 	Listed  []cordon.Server `json:"listed,omitempty"`  // where the registrar has asked for it
 	Reports []cordon.Report `json:"reports,omitempty"`
+
+	Unix  int64              `json:"unix_ms"`         // the asker's wall clock
+	Met   []contact.Evidence `json:"met,omitempty"`   // at sites, since the last beat
+	Ended []record.Ended     `json:"ended,omitempty"` // tries of planned work, until they are listed as its tasks no more
 }
 
 // Granted is a lease on a version, from when the Beat was sent.
@@ -75,6 +80,7 @@
 	LeaseNs  int64              `json:"lease_ns"`
 	Document *rulebook.Document `json:"document,omitempty"` // where the asker held another version
 	WantList bool               `json:"want_list,omitempty"`
+	Tasks    []record.Task      `json:"tasks,omitempty"` // planned work that the asker has claimed
 }
 
 // News is what a watch brings: a newer version, or that there is none yet.
@@ -117,6 +123,8 @@
 	Rules       rulebook.Rules              `json:"rules"`
 	Waiting     []rulebook.Waiting          `json:"waiting,omitempty"`
 	Cordons     []record.Cordon             `json:"cordons,omitempty"`
+	Work        map[string]record.Work      `json:"work,omitempty"`
+	Sites       map[string]record.Reach     `json:"sites,omitempty"`
 	Dispatchers []Dispatcher                `json:"dispatchers,omitempty"`
 	Expected    []string                    `json:"expected_missing,omitempty"` // named by the rules, and not in the record
 	Registrars  map[string]record.Registrar `json:"registrars"`
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -229,6 +229,11 @@
 	return out
 }
 
+// Over tells whether no lease of a life stands for certain.
+func (r *Roll) Over(now time.Duration, name string, life uint64) bool {
+	return r.of(name, life).over <= now
+}
+
 // Heard tells when a life was last heard of by this leader, and what it holds.
 func (r *Roll) Heard(name string, life uint64) (at time.Duration, holds uint64, ok bool) {
 	s := r.seen[lifeKey{name, life}]
@@ -238,6 +243,14 @@
 	return s.at, s.holds, true
 }
 
+// Agreed is how far a leader's wall clock is off from what it and the dispatchers have together: the median, so that one
+// that was set wrong, its own too, moves nothing. Leases do not go by it; expiries of cordons do not either.
+func Agreed(off []time.Duration) time.Duration {
+	all := append(slices.Clone(off), 0)
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
 // Clone is a copy that goes its own way.
 func (r *Roll) Clone() *Roll {
 	c := &Roll{terms: r.terms, begun: r.begun, seen: make(map[lifeKey]*seen, len(r.seen))}
--- a/internal/decide/record/record.go
+++ b/internal/decide/record/record.go
@@ -6,14 +6,17 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/decide/windows"
 )
 
 // Entry is one entry of the log. One of its parts is set.
@@ -30,6 +33,11 @@
 	Forget  *Forget       `json:"forget,omitempty"`
 	Retire  *Retire       `json:"retire,omitempty"`
 	Passed  *Passed       `json:"passed,omitempty"`
+	Seen    *Seen         `json:"seen,omitempty"`
+	Claim   *Claim        `json:"claim,omitempty"`
+	Ended   *Ended        `json:"ended,omitempty"`
+	Vacate  *Vacate       `json:"vacate,omitempty"`
+	Drop    *Drop         `json:"drop,omitempty"`
 }
 
 // Enrol gives a life to a dispatcher.
@@ -89,6 +97,9 @@
 	Agreed    map[string]uint64       `json:"agreed"` // by cordon: the version that brought it
 	Retired   map[string]Retire       `json:"retired,omitempty"`
 	Left      map[string]int64        `json:"left,omitempty"` // by cordon that expires: ms until then
+	Contacts  *contact.Sites          `json:"contacts"`
+	Work      map[string]Work         `json:"work,omitempty"` // by dispatch
+	Fence     uint64                  `json:"fence"`          // of the latest claim
 
 	Registrars map[string]Registrar `json:"registrars"`
 	Gone       []uint64             `json:"gone,omitempty"` // identities that were replaced: never taken again
@@ -124,7 +135,20 @@
 // New is the record before its first entry.
 func New(budget cordon.Budget, coldMs int64) *State {
 	return &State{Book: rulebook.New(budget, coldMs), Members: map[string]lease.Member{}, Confirmed: map[string]Confirmation{},
-		Agreed: map[string]uint64{}, Retired: map[string]Retire{}, Left: map[string]int64{}}
+		Agreed: map[string]uint64{}, Retired: map[string]Retire{}, Left: map[string]int64{}, Contacts: contact.New(), Work: map[string]Work{}}
+}
+
+// Restore reads a record that was written whole.
+func Restore(text []byte) (*State, error) {
+	s := New(cordon.Budget{}, 0)
+	s.Book = nil
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	if s.Book == nil || s.Contacts == nil || !s.Book.Document.Genuine() {
+		return nil, errors.New("record: not whole")
+	}
+	return s, nil
 }
 
 // Result is what an entry did.
@@ -150,7 +174,7 @@
 
 func (s *State) apply(e Entry, term uint64) Result {
 	// An operator's asking, a dispatcher's enrolment are judged here, on the record alone, whoever passed them on.
-	judged := e.Open != nil || e.Confirm != nil || e.Forget != nil || e.Passed != nil
+	judged := e.Open != nil || e.Confirm != nil || e.Forget != nil || e.Passed != nil || e.Claim != nil || e.Vacate != nil || e.Drop != nil
 	if judged && e.Term != term {
 		return Result{Refused: fmt.Sprintf("judged in term %d, agreed in term %d", e.Term, term)}
 	}
@@ -175,6 +199,12 @@
 		for id := range s.Left {
 			s.Left[id] = max(0, s.Left[id]-max(0, e.Passed.Ms))
 		}
+	case e.Seen != nil:
+		for _, name := range slices.Sorted(maps.Keys(e.Seen.States)) {
+			s.Contacts.Observe(e.At, name, e.Seen.States[name], s.calendar(name))
+		}
+	case e.Claim != nil || e.Ended != nil || e.Vacate != nil || e.Drop != nil:
+		return s.work(e)
 	case e.Forget != nil:
 		for name, lives := range e.Forget.Lives {
 			if m, ok := s.Members[name]; ok {
@@ -256,6 +286,7 @@
 			delete(s.Confirmed, id)
 		}
 	}
+	s.tidyWork()
 	for id := range d.Rules.Cordons {
 		if _, ok := s.Agreed[id]; !ok {
 			s.Agreed[id] = d.Head.Version
@@ -290,6 +321,9 @@
 	Listed  func() []cordon.Server     // as the dispatchers list them, pooled
 	Reports map[string][]cordon.Report // by dispatcher: its evidence on servers, of late
 	Auto    cordon.Auto
+	Met     map[string]contact.State // by site: what the dispatchers met there of late, pooled
+	Unix    int64                    // ms
+	Planned windows.Settings
 	Passed  time.Duration // since the last entry that counted time
 }
 
@@ -357,6 +391,7 @@
 			break // the next one rests on the version that this makes
 		}
 	}
+	out = append(out, s.dueWork(w)...)
 	for _, host := range w.Auto.Suspects(w.Reports, d.Rules.Cordons) {
 		out = append(out, Entry{Ask: &rulebook.Ask{Key: fmt.Sprintf("auto %s %d", host, d.Head.Version), Base: d.Head.Version,
 			Author: "registrar", Reason: "dispatchers agree that it fails", Evidence: w.Listed(),
--- a/internal/decide/record/record_test.go
+++ b/internal/decide/record/record_test.go
@@ -1,10 +1,12 @@
 package record
 
 import (
+	"bytes"
 	"encoding/json"
 	"testing"
 	"time"
 
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/rulebook"
@@ -176,3 +178,88 @@
 		}
 	})
 }
+
+// A record that was written whole and read again goes on as if it had not been, whatever entry comes first.
+func TestRestore(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	entries := []Entry{enrol("n0", "t", lease.Hold),
+		{Ask: &rulebook.Ask{Key: "1", Base: 1, Author: "a", Reason: "r", Evidence: three(), Changes: []rulebook.Change{closing("a", 5000),
+			{Kind: rulebook.KindDispatch, Name: "d", Work: &rulebook.Work{Site: "x", Class: "c", Target: "/", Earliest: 1, Latest: 1 << 40, Worth: 1}}}}},
+		{Term: 1, Confirm: &Confirm{Cordon: "a", Version: 2}},
+		{Term: 1, Open: &Open{Version: 2}},
+		{Term: 1, Passed: &Passed{Ms: 2000}},
+		{At: 10, Seen: &Seen{States: map[string]contact.State{"x": contact.Up}}},
+		{Term: 1, Claim: &Claim{Dispatch: "d", Name: "n0", Life: 1}},
+		{Ended: &Ended{Dispatch: "d", Fence: 1}},
+		{Retire: &Retire{Name: "n0", Author: "a", Reason: "r"}},
+	}
+	for i, e := range entries {
+		text, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := Restore(text)
+		if err != nil {
+			t.Fatalf("before entry %d: %v", i, err)
+		}
+		a, b := s.Apply(e, 1), other.Apply(e, 1)
+		if a.Refused != "" || a.Refused != b.Refused || a.Life != b.Life {
+			t.Errorf("entry %d: %+v, after it was read again %+v", i, a, b)
+		}
+		one, _ := json.Marshal(s)
+		two, _ := json.Marshal(other)
+		if string(one) != string(two) {
+			t.Errorf("entry %d leaves\n%s, after it was read again\n%s", i, one, two)
+		}
+	}
+	for _, bad := range []string{"", "{}", `{"book":null}`, `{"book":{"document":{"head":{"version":3}}}}`} {
+		if _, err := Restore([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+	spoilt, _ := json.Marshal(s)
+	spoilt = bytes.Replace(spoilt, []byte(`"exposure":[0`), []byte(`"exposure":[-1`), 1)
+	if got, err := Restore(spoilt); err != nil || len(got.Contacts.Sites) != 0 || got.Book.Document.Head.Version != s.Book.Document.Head.Version {
+		t.Errorf("a spoilt history of a site costs more than that: %v", err)
+	}
+}
+
+// A dispatch is claimed by one life at a time; who had it earlier is told by its fence, and takes nothing back.
+func TestClaims(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	s.Apply(enrol("n0", "t", lease.Hold), 1)
+	s.Apply(enrol("n1", "t", lease.Hold), 1)
+	s.ask(1, "1", rulebook.Change{Kind: rulebook.KindDispatch, Name: "d", Work: &rulebook.Work{Site: "x", Class: "c", Target: "/", Earliest: 1,
+		Latest: 1 << 40, Worth: 1}})
+	claim := func(name string, life uint64) Result {
+		return s.Apply(Entry{Term: 1, Claim: &Claim{Dispatch: "d", Name: name, Life: life}}, 1)
+	}
+	if r := claim("n0", 1); r.Refused == "" {
+		t.Error("claimed before all know of it")
+	}
+	s.Apply(Entry{Term: 1, Open: &Open{Version: 2}}, 1)
+	if r := claim("n0", 7); r.Refused == "" {
+		t.Error("claimed by a life that is not in the record")
+	}
+	if r := claim("n0", 1); r.Refused != "" || len(s.Tasks("n0", 1)) != 1 || s.Tasks("n0", 1)[0].Fence != 1 {
+		t.Errorf("%+v %+v", r, s.Tasks("n0", 1))
+	}
+	if r := claim("n1", 2); r.Refused == "" {
+		t.Error("claimed twice")
+	}
+	s.Apply(Entry{Term: 1, Vacate: &Vacate{Dispatch: "d", Fence: 1}}, 1)
+	claim("n1", 2)
+	if r := s.Apply(Entry{Ended: &Ended{Dispatch: "d", Fence: 1}}, 1); r.Refused == "" || s.Work["d"].Owner != "n1" {
+		t.Error("its earlier owner gives it back")
+	}
+	if r := s.Apply(Entry{Term: 1, Vacate: &Vacate{Dispatch: "d", Fence: 1}}, 1); r.Refused == "" {
+		t.Error("a claim is taken back for the lapse of an earlier one")
+	}
+	s.ask(1, "2", rulebook.Change{Kind: rulebook.KindWithdraw, Name: "d"})
+	if len(s.Tasks("n1", 2)) != 0 || s.Work["d"].Progress != Claimed {
+		t.Errorf("withdrawn: %+v", s.Work)
+	}
+	if s.Apply(Entry{Ended: &Ended{Dispatch: "d", Fence: 2, Done: true}}, 1); len(s.Work) != 0 {
+		t.Errorf("kept: %+v", s.Work)
+	}
+}
--- /dev/null
+++ b/internal/decide/record/work.go
@@ -0,0 +1,287 @@
+package record
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"merlinarch/internal/decide/contact"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/decide/windows"
+)
+
+// Seen is what the dispatchers met at sites, pooled.
+type Seen struct {
+	States map[string]contact.State `json:"states"`
+}
+
+// Claim gives a dispatch to a life of a dispatcher. It gets a fence, higher than any before: who was given the same work
+// earlier, and stood still meanwhile, is told from who has it now.
+type Claim struct {
+	Dispatch string `json:"dispatch"`
+	Name     string `json:"name"`
+	Life     uint64 `json:"life"`
+}
+
+// Ended is an owner's word on what became of its try.
+type Ended struct {
+	Dispatch string `json:"dispatch"`
+	Fence    uint64 `json:"fence"`
+	Done     bool   `json:"done"` // the receiver has it; else nothing is known of the try
+}
+
+// Vacate takes a claim back, as its owner's lease is over.
+type Vacate struct {
+	Dispatch string `json:"dispatch"`
+	Fence    uint64 `json:"fence"`
+}
+
+// Drop gives a dispatch up.
+type Drop struct {
+	Dispatch string `json:"dispatch"`
+	Why      string `json:"why"`
+}
+
+// Progress is how far a dispatch has got.
+type Progress string
+
+// Progress of dispatches.
+const (
+	Free    Progress = "free"    // nobody has it
+	Claimed Progress = "claimed" // its owner may be sending it
+	Done    Progress = "done"    // the receiver has it
+	Dropped Progress = "dropped" // it was given up
+)
+
+// Work is a dispatch in the record.
+type Work struct {
+	Progress Progress `json:"progress"`
+	Owner    string   `json:"owner,omitempty"`
+	Life     uint64   `json:"life,omitempty"`
+	Fence    uint64   `json:"fence,omitempty"`
+	Tried    int64    `json:"tried_ms,omitempty"`
+	Fails    int      `json:"fails,omitempty"`
+	Why      string   `json:"why,omitempty"`
+	At       int64    `json:"at_ms"`
+}
+
+// work carries out an entry on a dispatch.
+func (s *State) work(e Entry) Result {
+	name := ""
+	switch {
+	case e.Claim != nil:
+		name = e.Claim.Dispatch
+	case e.Ended != nil:
+		name = e.Ended.Dispatch
+	case e.Vacate != nil:
+		name = e.Vacate.Dispatch
+	default:
+		name = e.Drop.Dispatch
+	}
+	_, planned := s.Book.Document.Rules.Dispatches[name]
+	w, there := s.Work[name]
+	if !there {
+		w.Progress = Free
+	}
+	over := w.Progress == Done || w.Progress == Dropped
+	switch {
+	case e.Claim != nil:
+		if m, ok := s.Members[e.Claim.Name]; !planned || w.Progress != Free || !ok || m.Life != e.Claim.Life || e.Claim.Life == 0 {
+			return Result{Refused: "not to be claimed"}
+		}
+		s.Fence++
+		w.Progress, w.Owner, w.Life, w.Fence, w.Tried = Claimed, e.Claim.Name, e.Claim.Life, s.Fence, e.At
+	case e.Ended != nil && e.Ended.Done:
+		if !there { // it was withdrawn meanwhile
+			return Result{Refused: "no such dispatch"}
+		}
+		w.Progress, w.Why = Done, "" // the receiver has it, whoever sent it
+	case e.Ended != nil:
+		if w.Progress != Claimed || w.Fence != e.Ended.Fence {
+			return Result{Refused: "another has it by now"}
+		}
+		w.Progress, w.Fails = Free, w.Fails+1
+	case e.Vacate != nil:
+		if w.Progress != Claimed || w.Fence != e.Vacate.Fence {
+			return Result{Refused: "another has it by now"}
+		}
+		w.Progress, w.Fails = Free, w.Fails+1
+	default:
+		if !planned || w.Progress == Claimed || over {
+			return Result{Refused: "not to be given up"}
+		}
+		w.Progress, w.Why = Dropped, e.Drop.Why
+	}
+	w.At = e.At
+	s.Work[name] = w
+	s.tidyWork()
+	return Result{}
+}
+
+// tidyWork forgets dispatches that were withdrawn, unless their owner may be sending them yet.
+func (s *State) tidyWork() {
+	maps.DeleteFunc(s.Work, func(name string, w Work) bool {
+		_, planned := s.Book.Document.Rules.Dispatches[name]
+		return !planned && w.Progress != Claimed
+	})
+}
+
+// calendar is what operators know of a site.
+func (s *State) calendar(site string) []contact.Span {
+	var out []contact.Span
+	for _, o := range s.Book.Document.Rules.Sites[site].Outages {
+		out = append(out, contact.Span{From: o.From, Until: o.Until})
+	}
+	return out
+}
+
+// place is a site as plans see it.
+type place struct {
+	s    *State
+	name string
+	now  int64
+}
+
+func (p place) Up(at int64) (float64, bool) {
+	f := p.s.Contacts.Forecast(p.now, at, p.name, p.s.calendar(p.name))
+	return f.Up, f.Known
+}
+
+func (p place) Lasts(at int64, d time.Duration) float64 {
+	return p.s.Contacts.Lasts(p.now, at, p.name, d)
+}
+
+func (p place) Reached() (bool, int64, int64) {
+	x := p.s.Contacts.Sites[p.name]
+	if x == nil {
+		return false, 0, -1
+	}
+	return x.State == contact.Up, x.Since, x.Seen
+}
+
+// seenEvery is how often what is met at a site is written down where it stays as it is.
+const seenEvery = time.Minute
+
+// dueWork is what is due of sites and of planned work.
+func (s *State) dueWork(w Watch) []Entry {
+	var out []Entry
+	met := map[string]contact.State{}
+	for site, state := range w.Met {
+		if x := s.Contacts.Sites[site]; state != contact.Unknown && (x == nil || x.State != state || w.Unix-x.Seen >= seenEvery.Milliseconds()) {
+			met[site] = state
+		}
+	}
+	if len(met) > 0 {
+		out = append(out, Entry{Seen: &Seen{States: met}})
+	}
+	var jobs []windows.Job
+	busy := map[string]int{}
+	for _, name := range slices.Sorted(maps.Keys(s.Work)) {
+		if x := s.Work[name]; x.Progress == Claimed {
+			if w.Roll.Over(w.Now, x.Owner, x.Life) {
+				out = append(out, Entry{Vacate: &Vacate{Dispatch: name, Fence: x.Fence}})
+			}
+			busy[x.Owner]++
+		}
+	}
+	for name, d := range s.Book.Document.Rules.Dispatches {
+		x := s.Work[name]
+		if x.Progress == Done || x.Progress == Dropped {
+			continue
+		}
+		jobs = append(jobs, windows.Job{ID: name, Site: d.Site, Earliest: d.Earliest, Latest: d.Latest, Worth: d.Worth,
+			Took: time.Duration(d.TookMs * float64(time.Millisecond)), Tried: x.Tried, Fails: x.Fails, Out: x.Progress == Claimed})
+	}
+	if len(jobs) == 0 {
+		return out
+	}
+	steps := w.Planned.Plan(w.Unix, jobs, func(site string) windows.Site { return place{s, site, w.Unix} })
+	for _, step := range steps {
+		switch step.Verdict {
+		case windows.GiveUp:
+			out = append(out, Entry{Drop: &Drop{Dispatch: step.Job, Why: step.Why}})
+		case windows.Try:
+			if name := s.owner(w, step.Job, busy); name != "" {
+				busy[name]++
+				out = append(out, Entry{Claim: &Claim{Dispatch: step.Job, Name: name, Life: s.Members[name].Life}})
+			}
+		}
+	}
+	return out
+}
+
+// owner picks the dispatcher for a try: one that is heard and holds the present version, at the site itself where there
+// is one, with the fewest claims; after a failure another one.
+func (s *State) owner(w Watch, dispatch string, busy map[string]int) string {
+	d := s.Book.Document.Rules.Dispatches[dispatch]
+	var fit []string
+	for name, m := range s.Members {
+		if _, holds, heard := w.Roll.Heard(name, m.Life); m.Life != 0 && heard && holds == s.Book.Document.Head.Version && !w.Roll.Over(w.Now, name, m.Life) {
+			fit = append(fit, name)
+		}
+	}
+	if len(fit) == 0 {
+		return ""
+	}
+	last := s.Work[dispatch].Owner
+	rank := func(name string) (away, again int, h uint64) {
+		f := fnv.New64a()
+		f.Write([]byte(name + " " + dispatch))
+		if s.Members[name].Site != d.Site {
+			away = 1
+		}
+		if name == last {
+			again = 1
+		}
+		return away, again, f.Sum64()
+	}
+	return slices.MinFunc(fit, func(a, b string) int {
+		awayA, againA, hashA := rank(a)
+		awayB, againB, hashB := rank(b)
+		return cmp.Or(cmp.Compare(againA, againB), cmp.Compare(awayA, awayB), cmp.Compare(busy[a], busy[b]), cmp.Compare(hashA, hashB))
+	})
+}
+
+// Tasks are the claims of one life of a dispatcher, in order of their names.
+func (s *State) Tasks(name string, life uint64) []Task {
+	var out []Task
+	for _, d := range slices.Sorted(maps.Keys(s.Work)) {
+		x := s.Work[d]
+		if plan, ok := s.Book.Document.Rules.Dispatches[d]; ok && x.Progress == Claimed && x.Owner == name && x.Life == life {
+			out = append(out, Task{Dispatch: d, Fence: x.Fence, Work: plan})
+		}
+	}
+	return out
+}
+
+// Task is a claim as its owner is told of it.
+type Task struct {
+	Dispatch string        `json:"dispatch"`
+	Fence    uint64        `json:"fence"`
+	Work     rulebook.Work `json:"work"`
+}
+
+// Reach is what is known of a site.
+type Reach struct {
+	State string  `json:"state"` // as it was seen last: up or down
+	Since int64   `json:"since_ms"`
+	Seen  int64   `json:"seen_ms"`
+	Known bool    `json:"known"` // there is evidence enough to plan by it
+	Hour  float64 `json:"in_an_hour"`
+}
+
+// Reached tells of all sites that were ever seen.
+func (s *State) Reached(now int64) map[string]Reach {
+	out := map[string]Reach{}
+	for name, x := range s.Contacts.Sites {
+		f := s.Contacts.Forecast(now, now+time.Hour.Milliseconds(), name, s.calendar(name))
+		r := Reach{State: "up", Since: x.Since, Seen: x.Seen, Known: f.Known, Hour: f.Up}
+		if x.State == contact.Down {
+			r.State = "down"
+		}
+		out[name] = r
+	}
+	return out
+}
--- a/internal/decide/rulebook/view.go
+++ b/internal/decide/rulebook/view.go
@@ -41,6 +41,12 @@
 	return true
 }
 
+// Planned tells whether a piece of planned work is still to be done.
+func (v *View) Planned(name string) bool {
+	_, ok := v.Document.Rules.Dispatches[name]
+	return ok
+}
+
 // LiftedAt tells when a server's cordon was lifted, in Unix milliseconds; 0: not of late.
 func (v *View) LiftedAt(host string) int64 { return v.Document.Rules.Lifted[host] }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,6 +25,7 @@
 	HasKey bool
 	Hint   time.Duration // expected work; zero where unknown
 	Retry  bool          // marked by the client as a repeat
+	Zone   string        // that alone has what it asks for; empty: any
 }
 
 // Status tells how a request ended.
@@ -52,6 +53,7 @@
 	Message  Message
 	Fields   Fields
 	Deadline time.Time // when the decisions' time is over
+	Planned  string    // the name of the planned work that it is, under the agreed rules; empty: a client's request
 
 	mu     sync.Mutex
 	ended  bool
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -10,6 +10,7 @@
 
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/windows"
 	"merlinarch/internal/template"
 )
 
@@ -33,7 +34,9 @@
 	Budget     float64           `json:"budget"` // of a site's and build's capacity that may be cordoned, draining, lost or cold together
 	Cold       time.Duration     `json:"cold"`   // a server whose cordon was lifted is cold for so long
 	Auto       Auto              `json:"auto"`
-	ClockRate  float64           `json:"clock_rate"` // of the clock that leases are counted on; for tests
+	Room       int               `json:"dispatch_room"` // tries of planned work that may be out at one warm site together
+	ClockStep  time.Duration     `json:"clock_step"`    // by which the wall clock is off; for tests
+	ClockRate  float64           `json:"clock_rate"`    // of the clock that leases are counted on; for tests
 }
 
 // Auto cordons servers by the dispatchers' own evidence.
@@ -52,6 +55,13 @@
 	return lease.Terms{Length: a.Lease, Longest: max(a.Lease, a.Longest), Beat: a.Beat, Send: a.Send, Drift: a.Drift}
 }
 
+// Planned are the settings of planned work.
+func (a Accord) Planned() windows.Settings {
+	s := windows.DefaultSettings()
+	s.Room, s.Cold = a.Room, a.Cold
+	return s
+}
+
 // check finds what is wrong; the path is of the field.
 func (a Accord) check() (path, text string) {
 	if !a.On() {
@@ -81,6 +91,8 @@
 		return "cold", "expected a time from 0s"
 	case a.Auto.Agreeing < 0 || a.Auto.Most < 0 || a.Auto.Least < 0 || a.Auto.Share < 0 || a.Auto.Share > 1:
 		return "auto", "expected numbers from 0, and a share up to 1"
+	case a.Room < 1:
+		return "dispatch_room", "expected at least 1"
 	case a.ClockRate < 0:
 		return "clock_rate", "expected more than 0"
 	}
@@ -100,7 +112,7 @@
 	t := lease.DefaultTerms()
 	return Features{Ledger: Ledger{Period: time.Hour, Grace: time.Minute, OnFailure: "refuse"},
 		Accord: Accord{Mode: string(lease.Hold), Lease: t.Length, Beat: t.Beat, Send: t.Send, Drift: t.Drift,
-			Budget: cordon.DefaultBudget().Share, Cold: time.Minute, Auto: Auto{Share: 0.5, Least: 20, Most: 1}}}
+			Budget: cordon.DefaultBudget().Share, Cold: time.Minute, Room: windows.DefaultSettings().Room, Auto: Auto{Share: 0.5, Least: 20, Most: 1}}}
 }
 
 // Load reads a file, which read makes an object of; without a path everything is off. A wrong file is a
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/logic"
 )
@@ -20,10 +21,11 @@
 	mu    sync.Mutex
 	hosts map[logic.ServerID]Host
 	heard map[logic.ServerID]cordon.Report // since the last Reports
+	sites map[string]contact.Evidence      // since the last Met
 }
 
 func newFleet(clock Clock, coldTime time.Duration) *Fleet {
-	return &Fleet{clock: clock, coldTime: coldTime, hosts: map[logic.ServerID]Host{}, heard: map[logic.ServerID]cordon.Report{}}
+	return &Fleet{clock: clock, coldTime: coldTime, hosts: map[logic.ServerID]Host{}, heard: map[logic.ServerID]cordon.Report{}, sites: map[string]contact.Evidence{}}
 }
 
 // set takes the list as it stands now.
@@ -36,17 +38,27 @@
 	}
 }
 
-// noted counts an answer. Silence is none.
-func (f *Fleet) noted(id logic.ServerID, o logic.Outcome) {
-	if o != logic.OK && o != logic.ServerError {
-		return
-	}
+// noted counts what came of an attempt: for its site, whether anything came at all, and for the server, its answers.
+func (f *Fleet) noted(id logic.ServerID, result Result) {
+	o := result.Outcome
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h, ok := f.hosts[id]
 	if !ok {
 		return
 	}
+	e := f.sites[h.Zone]
+	e.Site = h.Zone
+	switch {
+	case o == logic.OK || o == logic.ServerError || o == logic.Rejected || result.Refused:
+		e.Answered++
+	case o == logic.TimedOut || o == logic.ConnectFailed:
+		e.Silent++
+	}
+	f.sites[h.Zone] = e
+	if o != logic.OK && o != logic.ServerError {
+		return
+	}
 	r := f.heard[id]
 	r.Host = h.Name
 	r.Answered++
@@ -71,6 +83,19 @@
 	return servers, fmt.Sprintf("%x", h.Sum64())
 }
 
+// Met is what came of attempts at each site since it was last asked for.
+func (f *Fleet) Met() []contact.Evidence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []contact.Evidence{}
+	for _, e := range f.sites {
+		out = append(out, e)
+	}
+	clear(f.sites)
+	slices.SortFunc(out, func(a, b contact.Evidence) int { return cmp.Compare(a.Site, b.Site) })
+	return out
+}
+
 // Reports is what servers have answered since it was last asked for.
 func (f *Fleet) Reports() []cordon.Report {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 // Result tells how an attempt or a probe ended, and what came back.
 type Result struct {
 	Outcome logic.Outcome
+	Refused bool // ConnectFailed, by a machine that is there
 	Held    bool // NotSent, since nothing may be sent now: no lease on the agreed rules stands
 	Body    []byte
 	Free    func() // gives back the room that the body takes; nil: nothing to do
@@ -276,7 +277,7 @@
 func (g *Gateway) arrive(ex *exchange.Exchange) {
 	f := ex.Fields
 	c := g.driver.Arrive(g.clock.Now(), &request{ex: ex}, logic.RequestArrived{Class: f.Class, Tenant: f.Tenant,
-		Key: f.Key, HasKey: f.HasKey, Left: max(0, time.Until(ex.Deadline)), Hint: f.Hint, Retry: f.Retry})
+		Key: f.Key, HasKey: f.HasKey, Left: max(0, time.Until(ex.Deadline)), Hint: f.Hint, Retry: f.Retry, Zone: f.Zone})
 	if !c.Gone() {
 		g.calls[ex] = c
 	}
@@ -308,7 +309,7 @@
 	g.count.Inc("attempts." + outcomeName(e.result.Outcome))
 	over := e.result.Outcome == logic.OK || e.result.Held || c.Gone() || ex.Ended()
 	if g.rules != nil {
-		g.rules.fleet.noted(c.Server, e.result.Outcome)
+		g.rules.fleet.noted(c.Server, e.result)
 	}
 	switch {
 	case e.result.Held && e.attempt == 0: // nothing has been sent for it
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -323,7 +323,7 @@
 	w := n.watch()
 	d := n.state.Book.Document
 	s := accord.Status{Cluster: n.opts.Cluster, Role: n.shown.Load().state, Head: d.Head, Bound: n.opts.Terms.Bound().String(), Rules: d.Rules,
-		Waiting: d.Waiting, Cordons: n.state.Cordons(w), Registrars: n.state.Registrars}
+		Waiting: d.Waiting, Work: n.state.Work, Sites: n.state.Reached(n.unix()), Cordons: n.state.Cordons(w), Registrars: n.state.Registrars}
 	for _, name := range slices.Sorted(maps.Keys(n.state.Members)) {
 		m := n.state.Members[name]
 		if m.Life == 0 {
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"merlinarch/internal/accord"
+	"merlinarch/internal/decide/contact"
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/record"
@@ -61,10 +62,12 @@
 	lists   map[string]list
 	reports map[string][]cordon.Report
 	unknown map[string][]string
-	led     time.Duration // since when
-	counted time.Duration // time was last counted towards expiries
-	dirty   bool          // what is due may have changed
-	due     int           // entries that are on their way
+	met     map[string]evidence
+	clocks  map[string]time.Duration // by dispatcher: its wall clock's distance from this leader's
+	led     time.Duration            // since when
+	counted time.Duration            // time was last counted towards expiries
+	dirty   bool                     // what is due may have changed
+	due     int                      // entries that are on their way
 
 	serial  uint64
 	waiting map[string]func(any) // by reference of an entry
@@ -83,6 +86,12 @@
 	servers []cordon.Server
 }
 
+// evidence is what a dispatcher met at sites, and when it told.
+type evidence struct {
+	at  time.Duration
+	met []contact.Evidence
+}
+
 // shown is what other tasks may read: the newest version, and a channel that is closed when it is replaced.
 type shown struct {
 	document   rulebook.Document
@@ -172,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.lists, n.reports, n.unknown = map[string]list{}, map[string][]cordon.Report{}, map[string][]string{}
+	n.forgetHeard()
 	n.peers.use(n.state.Registrars)
 	n.show()
 	return n, nil
@@ -367,7 +376,7 @@
 		now := n.opts.Clock.Now()
 		n.roll = lease.NewRoll(n.opts.Terms, now)
 		n.led, n.counted, n.settled, n.due = now, now, false, 0
-		n.lists, n.reports, n.unknown = map[string]list{}, map[string][]cordon.Report{}, map[string][]string{}
+		n.forgetHeard()
 		n.log.Info("leads", zap.Uint64("term", status.GetTerm()))
 		n.set.GetOrCreateCounter("registrar_elections_won_total").Inc()
 	}
@@ -380,6 +389,12 @@
 	n.show()
 }
 
+// forgetHeard begins anew with what is kept of dispatchers for one term.
+func (n *node) forgetHeard() {
+	n.lists, n.reports, n.unknown = map[string]list{}, map[string][]cordon.Report{}, map[string][]string{}
+	n.met, n.clocks = map[string]evidence{}, map[string]time.Duration{}
+}
+
 func (n *node) leaderName() string {
 	for name, r := range n.state.Registrars {
 		if r.ID == n.lead && n.lead != 0 {
@@ -496,6 +511,13 @@
 		if b.Reports != nil {
 			n.reports[b.Name] = b.Reports
 		}
+		n.clocks[b.Name] = time.UnixMilli(b.Unix).Sub(n.opts.Unix())
+		if len(b.Met) > 0 {
+			n.met[b.Name] = evidence{a.at, b.Met}
+		}
+		for _, e := range b.Ended {
+			n.propose(record.Entry{Ended: &e}, func(any) {})
+		}
 		if n.unknown[b.Name] = b.Unknown; len(b.Unknown) == 0 {
 			delete(n.unknown, b.Name)
 		}
@@ -547,7 +569,7 @@
 	}
 	d := n.state.Book.Document
 	g := accord.Granted{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: d.Head.Version, LeaseNs: int64(n.opts.Terms.Length),
-		WantList: b.List != "" && n.lists[b.Name].sum != b.List}
+		WantList: b.List != "" && n.lists[b.Name].sum != b.List, Tasks: n.state.Tasks(b.Name, b.Life)}
 	if b.Holds != d.Head.Version {
 		g.Document = &d
 	}
@@ -578,7 +600,7 @@
 			return
 		}
 	}
-	e.Term, e.At = n.term, n.opts.Unix().UnixMilli()
+	e.Term, e.At = n.term, n.unix()
 	inner, err := json.Marshal(e)
 	var text []byte
 	n.serial++
@@ -622,7 +644,19 @@
 // watch is what this leader knows beside the record.
 func (n *node) watch() record.Watch {
 	now := n.opts.Clock.Now()
-	return record.Watch{Roll: n.roll, Now: now, Listed: n.listed, Reports: n.reports, Auto: n.opts.Auto, Passed: now - n.counted}
+	met := map[string][]contact.Evidence{}
+	for name, e := range n.met {
+		if now-e.at <= 2*n.opts.Terms.Beat {
+			met[name] = e.met
+		}
+	}
+	return record.Watch{Roll: n.roll, Now: now, Listed: n.listed, Reports: n.reports, Auto: n.opts.Auto, Passed: now - n.counted,
+		Met: contact.Pool(met), Unix: n.unix(), Planned: n.opts.Planned}
+}
+
+// unix is the wall clock that the record goes by, in ms.
+func (n *node) unix() int64 {
+	return n.opts.Unix().Add(lease.Agreed(slices.Collect(maps.Values(n.clocks)))).UnixMilli()
 }
 
 // dueNow puts what is due before the others.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -29,6 +29,7 @@
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/record"
+	"merlinarch/internal/decide/windows"
 )
 
 // Options are a registrar's.
@@ -42,6 +43,7 @@
 	Budget     cordon.Budget
 	Auto       cordon.Auto
 	Cold       time.Duration // a server whose cordon was lifted is cold for so long
+	Planned    windows.Settings
 	Clock      accord.Clock
 	Unix       func() time.Time // wall clock, for what is written down; nil: the machine's
 }
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"merlinarch/internal/accord"
@@ -33,7 +34,7 @@
 func (p *Pool) attempt(ctx context.Context, a gateway.Attempt) gateway.Result {
 	h, c, failed := p.connection(ctx, a.Server)
 	if c == nil {
-		return gateway.Result{Outcome: failed}
+		return failed
 	}
 	// Danger: the request may have ended, or the host begun to drain, while the connection was made.
 	if a.Exchange.Ended() || ctx.Err() != nil || p.late(h, a.Decided) {
@@ -41,38 +42,38 @@
 		p.give(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
-	return p.exchange(ctx, h, c, request(a))
+	return p.exchange(ctx, h, c, request(a), a.Exchange.Planned)
 }
 
 // connection finds a server's idle connection or makes one; without, the outcome tells why. Danger: short of
 // descriptors, or when the attempt's own time is over, the node would blame the host.
-func (p *Pool) connection(ctx context.Context, server logic.ServerID) (*host, *conn, logic.Outcome) {
+func (p *Pool) connection(ctx context.Context, server logic.ServerID) (*host, *conn, gateway.Result) {
 	h := p.lookup(server)
 	if h == nil {
-		return nil, nil, logic.NotSent
+		return nil, nil, gateway.Result{Outcome: logic.NotSent}
 	}
 	if c := p.take(h); c != nil {
-		return h, c, logic.OK
+		return h, c, gateway.Result{}
 	}
 	c, err := p.connect(ctx, h)
 	switch {
 	case err == nil:
-		return h, c, logic.OK
+		return h, c, gateway.Result{}
 	case errors.Is(err, errNoDescriptor) || ctx.Err() != nil:
-		return h, nil, logic.NotSent
+		return h, nil, gateway.Result{Outcome: logic.NotSent}
 	default:
-		return h, nil, logic.ConnectFailed
+		return h, nil, gateway.Result{Outcome: logic.ConnectFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 }
 
 // exchange writes a request and waits for its answer. The outcome turns on the last byte: a break before it
 // is written proves that the request never ran, after it the request may have.
-func (p *Pool) exchange(ctx context.Context, h *host, c *conn, text []byte) gateway.Result {
+func (p *Pool) exchange(ctx context.Context, h *host, c *conn, text []byte, planned string) gateway.Result {
 	var pass *accord.Pass
 	if p.Gate != nil {
 		var refused error
 		name, born := p.life(h)
-		if pass, refused = p.Gate.Begin(name, born, c.giveUp); refused != nil {
+		if pass, refused = p.Gate.Begin(name, born, planned, c.giveUp); refused != nil {
 			p.give(h, c)
 			return gateway.Result{Outcome: logic.NotSent, Held: errors.Is(refused, accord.ErrNoLease)}
 		}
@@ -84,7 +85,7 @@
 		p.discard(c)
 	}
 	switch {
-	case !written && (errors.Is(err, accord.ErrNoLease) || errors.Is(err, accord.ErrCordoned)):
+	case !written && (errors.Is(err, accord.ErrNoLease) || errors.Is(err, accord.ErrCordoned) || errors.Is(err, accord.ErrWithdrawn)):
 		return gateway.Result{Outcome: logic.NotSent, Held: errors.Is(err, accord.ErrNoLease)}
 	case !written && ctx.Err() != nil: // given up: the host is not to blame
 		return gateway.Result{Outcome: logic.NotSent}
@@ -169,9 +170,9 @@
 func (p *Pool) probe(ctx context.Context, server logic.ServerID) gateway.Result {
 	h, c, failed := p.connection(ctx, server)
 	if c == nil {
-		return gateway.Result{Outcome: failed}
+		return failed
 	}
-	r := p.exchange(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+service+"\r\n\r\n"))
+	r := p.exchange(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+service+"\r\n\r\n"), "")
 	if r.Load == nil && r.Outcome == logic.OK {
 		r.Load = parseLoad(string(r.Body))
 	}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -38,8 +38,10 @@
 	Accord      map[string]any // further settings of the accord, for all
 	Own         func(process string) map[string]any
 	Seed        uint64
-	Serve       hosts.Handler // what a server does once it has noted a request; nil: it answers at once
-	Links       bool          // false: processes speak directly, which takes fewer descriptors
+	// Serve is what a server does once it has noted a request; nil: it answers at once.
+	Serve func(ctx context.Context, a Arrival) hosts.Reply
+	Site  func(server int) string // nil: all are in site a
+	Links bool                    // false: processes speak directly, which takes fewer descriptors
 }
 
 // Arrival is a request as a server got it, whole.
@@ -48,6 +50,7 @@
 	Dispatcher string
 	Server     string
 	ID         string
+	Target     string
 	Key        string
 	Body       string
 }
@@ -197,12 +200,12 @@
 	for j := range c.Servers {
 		server := ServerName(j)
 		h, err := hosts.Listen("127.0.0.1:0", func(ctx context.Context, q hosts.Request) hosts.Reply {
-			at := time.Now()
+			a := Arrival{At: time.Now(), Dispatcher: name, Server: server, ID: q.ID, Target: q.Target, Key: q.DedupKey, Body: string(q.Body)}
 			c.mu.Lock()
-			c.seen = append(c.seen, Arrival{At: at, Dispatcher: name, Server: server, ID: q.ID, Key: q.DedupKey, Body: string(q.Body)})
+			c.seen = append(c.seen, a)
 			c.mu.Unlock()
 			if c.Serve != nil {
-				return c.Serve(ctx, q)
+				return c.Serve(ctx, a)
 			}
 			return hosts.Reply{Body: []byte(server)}
 		})
@@ -210,7 +213,11 @@
 			return err
 		}
 		c.servers = append(c.servers, h)
-		fleet = append(fleet, map[string]any{"host": server, "dial": h.Addr(), "site": "a", "class": "m", "block": 0, "health": "up",
+		at := "a"
+		if c.Site != nil {
+			at = c.Site(j)
+		}
+		fleet = append(fleet, map[string]any{"host": server, "dial": h.Addr(), "site": at, "class": "m", "block": 0, "health": "up",
 			"share": 1.0, "born_ms": 0, "build": 42})
 	}
 	if err := c.settings(name, ""); err != nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -166,6 +166,7 @@
 		Left   time.Duration // until the client gives up
 		Hint   time.Duration // expected work; zero where unknown
 		Retry  bool          // marked by the client as a repeat
+		Zone   string        // only servers there will do; empty: any
 	}
 	// AnswerStarted tells that a streamed answer has begun.
 	AnswerStarted struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -444,12 +444,12 @@
 	return nil
 }
 
-// repeatOK tells whether an attempt at this server would keep the rule on repeats.
+// repeatOK tells whether an attempt at this server would keep to the request's zone and to the rule on repeats.
 func (r *Router) repeatOK(q *request, s *server) bool {
 	over := q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow
 	same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
 		q.class.Scope == ScopeCell && s.Cell == q.ranOn.Cell
-	return !q.mayRan || q.class.Repeat == Safe || !over && same
+	return (q.Zone == "" || s.Zone == q.Zone) && (!q.mayRan || q.class.Repeat == Safe || !over && same)
 }
 
 // choose finds the server for a request's next attempt, or nil where it has to wait.
