--- a/cmd/merlinarch/accord.go
+++ b/cmd/merlinarch/accord.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"os"
 	"os/signal"
 	"slices"
 	"strings"
@@ -220,6 +223,56 @@
 	return c
 }
 
+func changeCommand(env func(string) string) *cobra.Command {
+	var o operator
+	c := &cobra.Command{Use: "change FILE", Short: "Ask for changes of the rules, a JSON list as docs/accord.md has it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			var changes []rulebook.Change
+			d := json.NewDecoder(bytes.NewReader(text))
+			d.DisallowUnknownFields()
+			if err := d.Decode(&changes); err != nil {
+				return fmt.Errorf("%s: expected a list of changes: %w", args[0], err)
+			}
+			ctx, stop, client, cluster, err := o.begin()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			a, err := o.change(ctx, client, cluster, changes...)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "agreed as version %d; %d of %d changes wait until all dispatchers know of them\n", a.Version, a.Waits, len(changes))
+			return nil
+		}}
+	o.changing(c, env)
+	return c
+}
+
+func retireCommand(env func(string) string) *cobra.Command {
+	var o operator
+	c := &cobra.Command{Use: "retire NAME", Short: "Vouch that a dispatcher's process has ended for good", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop, client, cluster, err := o.begin()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			if err := client.Do(ctx, accord.PathRetire, accord.Retire{Cluster: cluster, Name: args[0], Author: o.author, Reason: o.reason,
+				Forced: o.force}, nil); err != nil {
+				return failure{err}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s is not waited for any more, once its leases are over\n", args[0])
+			return nil
+		}}
+	o.changing(c, env)
+	return c
+}
+
 func statusCommand() *cobra.Command {
 	var o operator
 	var asJSON bool
@@ -261,6 +314,18 @@
 	for _, x := range s.Waiting {
 		fmt.Fprintf(w, "waits\tversion %d\t%s %s\t\t%s: %s\n", x.Version, x.Change.Kind, x.Change.Name, x.Author, x.Reason)
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.Work)) {
+		x := s.Work[name]
+		fmt.Fprintf(w, "dispatch\t%s\t%s\t%s\t%s\n", name, x.Progress, x.Owner, x.Why)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Sites)) {
+		x := s.Sites[name]
+		hour := "not enough is known of it"
+		if x.Known {
+			hour = fmt.Sprintf("up in an hour: %.2f", x.Hour)
+		}
+		fmt.Fprintf(w, "site\t%s\t%s\tsince %s\t%s\n", name, x.State, time.UnixMilli(x.Since).UTC().Format(time.RFC3339), hour)
+	}
 	for _, d := range s.Dispatchers {
 		heard := "not heard by this leader"
 		if d.Heard {
--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -47,7 +47,7 @@
 	root.SetErr(errOut)
 	root.SetArgs(twoDashes(args))
 	root.AddCommand(serveCommand(env), checkCommand(env), ledgerCommand(env), cordonCommand(env), uncordonCommand(env),
-		statusCommand(), registrarCommand(), rehearseCommand(), versionCommand())
+		changeCommand(env), retireCommand(env), statusCommand(), registrarCommand(), rehearseCommand(), versionCommand())
 	err := root.Execute()
 	if err == nil {
 		return exitOK
--- /dev/null
+++ b/cmd/merlinarch/standing_test.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"merlinarch/internal/testwait"
+)
+
+// These tests start the program and hold it against what the users' standing page says of ends and lists.
+
+// program builds the router once.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "merlinarch")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "merlinarch/cmd/merlinarch").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return filepath.Join(dir, "merlinarch"), nil
+})
+
+// start runs the router on a configuration's text until the test ends.
+func start(t *testing.T, config string) *exec.Cmd {
+	t.Helper()
+	bin, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(bin, "serve", "--config", path, "--log-level", "error")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Process.Kill()
+		c.Wait()
+	})
+	return c
+}
+
+// listing is a configuration with these entries known.
+func listing(listen, discovery string, entries ...string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+		"pipeline":{"address":"127.0.0.1:1","news":{"release":42,"tranche":0,"mode":"released","exposure":1,"old_ms":0}},
+		"known":{"seq":1,"whole":true,"hosts":[%s]},"settings":{"me":0,"peers_total":1,"zone":"a","classes":[{"name":"read","repeat":"safe",
+		"aim_ms":1500.0,"deadline_ms":3000.0,"worth":1.0}],"caps":{"max_attempts":3,"conn_idle_ms":10000.0,"dial_timeout_ms":250.0},
+		"rules":{"drain_grace_ms":1000.0}}}`, listen, discovery, strings.Join(entries, ","))
+}
+
+func entry(name, addr, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","block":0,"health":%q,"share":1.0,"born_ms":0,"build":42}`, name, addr, health)
+}
+
+// arrivals notes when a host got requests.
+type arrivals struct {
+	*httptest.Server
+	mu   sync.Mutex
+	last time.Time
+	n    int
+}
+
+func newArrivals(t *testing.T, wait time.Duration) *arrivals {
+	a := &arrivals{}
+	a.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.mu.Lock()
+		a.last = time.Now()
+		a.n++
+		a.mu.Unlock()
+		if strings.Contains(r.RequestURI, "slow") {
+			time.Sleep(wait)
+		}
+		io.WriteString(w, "notice")
+	}))
+	t.Cleanup(func() { a.CloseClientConnections(); a.Close() })
+	return a
+}
+
+func (a *arrivals) addr() string { return strings.TrimPrefix(a.URL, "http://") }
+
+func (a *arrivals) seen() (time.Time, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last, a.n
+}
+
+// After SIGTERM clients go on sending on every connection that stays open. Each request gets a whole answer, unless its
+// connection was closed between requests; the router ends by itself, in time, with nothing taken left unanswered.
+func TestClientsSendOnAfterSIGTERM(t *testing.T) {
+	closed := int64(0)
+	for range 4 {
+		closed += endUnderLoad(t)
+	}
+	// A close may cross a request that comes in the same moment; it must not fall on those that had come.
+	t.Logf("%d of 48 connections closed under a request", closed)
+	if closed > 6 {
+		t.Errorf("%d of 48 connections closed under a request", closed)
+	}
+}
+
+// endUnderLoad ends a router that twelve clients send to, each on one connection, and tells how many of these closed
+// without an answer to what had been sent on them.
+func endUnderLoad(t *testing.T) int64 {
+	t.Helper()
+	host := newArrivals(t, 600*time.Millisecond)
+	listen := freeAddr(t)
+	router := start(t, listing(listen, "127.0.0.1:1", entry("s-1", host.addr(), "up"), entry("s-2", host.addr(), "up"), entry("s-3", host.addr(), "up")))
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	var serial, answered, after, closed atomic.Int64
+	var ending atomic.Bool
+	var work sync.WaitGroup
+	for client := range 12 {
+		work.Go(func() {
+			c, err := net.Dial("tcp", listen)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			answers := bufio.NewReader(c)
+			for {
+				target := "/api"
+				if client%3 == 0 {
+					target = "/api?slow"
+				}
+				if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\nX-Txn: %d\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n", target, serial.Add(1)); err != nil {
+					closed.Add(1) // between requests
+					return
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+					if !ending.Load() {
+						t.Errorf("closed before the end: %v", err)
+					}
+					closed.Add(1)
+					return
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != 200 || string(body) != "notice" {
+					t.Errorf("%d %q %v", resp.StatusCode, body, err)
+				}
+				answered.Add(1)
+				if ending.Load() {
+					after.Add(1)
+				}
+				if resp.Close {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	ending.Store(true)
+	began := time.Now()
+	if err := router.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- router.Wait() }()
+	if err := testwait.Value(t, "the router to end", done); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if took := time.Since(began); took > 3700*time.Millisecond {
+		t.Errorf("ended after %v, SIGKILL comes 3.7 s after SIGTERM", took)
+	}
+	work.Wait()
+	if after.Load() == 0 || answered.Load() < 100 {
+		t.Errorf("%d answers, %d of them after SIGTERM", answered.Load(), after.Load())
+	}
+	return closed.Load()
+}
+
+// What the agent has counts as told from the first moment of a new process, whatever the configuration knew.
+func TestListCountsFromTheFirstMoment(t *testing.T) {
+	gone, there := newArrivals(t, 0), newArrivals(t, 0)
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var text bytes.Buffer // lists may come indented
+		json.Indent(&text, fmt.Appendf(nil, `{"seq":9,"whole":true,"hosts":[%s,%s]}`, entry("s-1", gone.addr(), "draining"), entry("s-2", there.addr(), "up")), "", "  ")
+		fmt.Fprintf(w, "%s\n", text.Bytes())
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	listen := freeAddr(t)
+	began := time.Now()
+	start(t, listing(listen, strings.TrimPrefix(agent.URL, "http://"), entry("s-1", gone.addr(), "up"), entry("s-2", there.addr(), "up")))
+	served := 0
+	for i := 0; time.Since(began) < 2500*time.Millisecond; i++ {
+		if status, _, err := get(listen, "/api", fmt.Sprint("x", i)); err == nil && status == 200 {
+			served++
+		}
+	}
+	if at, n := gone.seen(); n > 0 && at.Sub(began) > 1050*time.Millisecond {
+		t.Errorf("a host that drained before the start got requests until %v after it", at.Sub(began))
+	}
+	if served < 100 {
+		t.Errorf("%d served", served)
+	}
+}
+
+// A watch that has fallen silent is opened anew in time: what it missed counts as told 6 s after it fell silent.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	t.Parallel()
+	drains, there := newArrivals(t, 0), newArrivals(t, 0)
+	var silentSince atomic.Int64
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silentSince.CompareAndSwap(0, time.Now().UnixNano()) { // the first watch says nothing ever after
+			fmt.Fprintf(w, "{\"seq\":2,\"whole\":true,\"hosts\":[%s,%s]}\n", entry("s-1", drains.addr(), "up"), entry("s-2", there.addr(), "up"))
+		} else {
+			fmt.Fprintf(w, "{\"seq\":3,\"whole\":false,\"hosts\":[%s]}\n", entry("s-1", drains.addr(), "draining"))
+		}
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	listen := freeAddr(t)
+	start(t, listing(listen, strings.TrimPrefix(agent.URL, "http://"), entry("s-1", drains.addr(), "up"), entry("s-2", there.addr(), "up")))
+	testwait.Until(t, "the watch", func() bool { return silentSince.Load() != 0 })
+	silent := time.Unix(0, silentSince.Load())
+	for i := 0; time.Since(silent) < 8*time.Second; i++ {
+		get(listen, "/api", fmt.Sprint("y", i))
+		time.Sleep(5 * time.Millisecond)
+	}
+	at, n := drains.seen()
+	if n == 0 {
+		t.Fatal("the host that is to drain got nothing before")
+	}
+	if late := at.Sub(silent); late > 7050*time.Millisecond { // 6 s, the grace of 1 s, and the protocol's 50 ms
+		t.Errorf("a host whose drain was missed got requests until %v after the watch fell silent", late)
+	}
+}
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -220,6 +220,14 @@
 	return false
 }
 
+// endIdle ends all connections that stand idle, and on which nothing has come.
+func (a *conns) endIdle() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for a.endOldest(a.idle, 0) {
+	}
+}
+
 // starved tells that an answer is to close its connection: more stand than the node wants and none is idle, or a
 // new one has waited for room. Danger: on a busy machine those that stand idle have requests waiting already and
 // can't make room; served for ever, they would keep new ones in the backlog until their time is over. Danger:
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -56,6 +56,7 @@
 	http    *http.Server
 	conns   *conns
 	open    atomic.Int64
+	ending  atomic.Bool // each answer closes its connection
 	ids     openIDs
 }
 
@@ -85,7 +86,10 @@
 // then ends connections between requests, then waits for what was taken.
 func (s *Server) Drain() error {
 	time.Sleep(s.limits.DrainTaking)
-	s.http.SetKeepAlivesEnabled(false)
+	// Danger: net/http, told to keep nothing alive, closes what it holds for idle at once, also under a request that has
+	// come and was not read. Answers end their connections from here on, and idle ones are ended only where silent.
+	s.ending.Store(true)
+	s.conns.endIdle()
 	time.Sleep(s.limits.DrainClosing - s.limits.DrainTaking)
 	ctx, stop := context.WithTimeout(context.Background(), s.limits.DrainLast)
 	defer stop()
@@ -173,7 +177,7 @@
 		s.turnDown(w, wrong)
 		return
 	}
-	if s.conns.starved() {
+	if s.ending.Load() || s.conns.starved() {
 		w.Header().Set("Connection", "close")
 	}
 	if !until.After(time.Now()) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -67,6 +67,45 @@
 	}
 }
 
+// Lists may come indented, also on a watch; one that breaks off does not swallow what follows.
+func TestIndentedLists(t *testing.T) {
+	indented := "{\n  \"seq\": 44,\n  \"whole\": true,\n  \"hosts\": [\n    " + entry + "\n  ]\n}"
+	asked := make(chan string, 8)
+	n := start(t, testLimits(), func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.RequestURI
+		switch len(asked) {
+		case 1:
+			tell(w, "", indented, "", change, "{\n  \"seq\": 45,", "", change)
+		case 2:
+			tell(w, indented)
+			return
+		}
+		hold(r)
+	})
+	n.await(t, "full=true hosts=1")
+	n.await(t, "full=false hosts=2")
+	n.await(t, "failed")
+	n.await(t, "full=true hosts=1") // the whole list, asked for anew
+	for _, text := range []string{"{", "{\n  \"a\": [\n  1,\n", " }", "]", "}\n", "{,\n}"} {
+		var o objects
+		for _, line := range strings.Split(text, "\n") {
+			if got, err := o.line([]byte(line), 64); err == nil && len(got) > 0 {
+				fastjson.ParseBytes(got) // whatever comes is for the parser to refuse
+			}
+		}
+	}
+	var o objects
+	for range 100 {
+		if _, err := o.line([]byte("  \"x\": 1,"), 64); err != nil {
+			if len(o.part) > 64 {
+				t.Errorf("%d bytes kept", len(o.part))
+			}
+			return
+		}
+	}
+	t.Error("a list without an end is kept for ever")
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, s := range []string{`{"seq":41,"whole":true,"hosts":[` + entry + `]}`, `{"seq":1,"hosts":[7]}`, `[]`, `{`} {
 		f.Add(s)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -141,10 +140,15 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, w.limits.MaxList)
 	var parser fastjson.Parser
+	var object objects
 	for lines.Scan() {
 		silence.Reset(w.limits.ListSilence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 { // a sign of life
+		text, err := object.line(lines.Bytes(), w.limits.MaxList)
+		if err != nil {
+			w.count.Inc("discovery.unreadable")
+			return fmt.Errorf("discovery: %w: %w", errUnreadable, err)
+		}
+		if len(text) == 0 { // a sign of life, or a part of a list
 			continue
 		}
 		v, err := parser.ParseBytes(text)
@@ -162,6 +166,10 @@
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if object.open() {
+		w.count.Inc("discovery.unreadable")
+		return fmt.Errorf("discovery: %w: it ends within a list", errUnreadable)
+	}
 	if query == "" {
 		return nil
 	}
