--- /dev/null
+++ b/internal/accord/gate_test.go
@@ -0,0 +1,189 @@
+package accord
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/rulebook"
+	"merlinarch/internal/metrics"
+	"merlinarch/internal/testwait"
+)
+
+// view is a version with cordons, and planned work.
+func view(version uint64, closed []string, planned ...string) *rulebook.View {
+	d := rulebook.Document{Head: rulebook.Head{Version: version}, Rules: rulebook.Rules{Cordons: map[string]cordon.Order{}, Dispatches: map[string]rulebook.Work{}}}
+	for _, h := range closed {
+		d.Rules.Cordons[h] = cordon.Order{Target: cordon.Target{Host: h}}
+	}
+	for _, p := range planned {
+		d.Rules.Dispatches[p] = rulebook.Work{}
+	}
+	return rulebook.NewView(d)
+}
+
+func open(t *testing.T, mode lease.Mode, length time.Duration) *Gate {
+	t.Helper()
+	g := NewGate(mode, Clock{}, metrics.New())
+	if err := g.Take(t.Context(), view(1, nil, "sheet")); err != nil {
+		t.Fatal(err)
+	}
+	if !g.Grant(g.clock.Now(), 1, length) {
+		t.Fatal("no lease")
+	}
+	return g
+}
+
+func nothing() {}
+
+func TestGateWithoutLease(t *testing.T) {
+	g := NewGate(lease.Serve, Clock{}, metrics.New())
+	if _, err := g.Begin("a", 0, "", nothing); !errors.Is(err, ErrNoLease) || !g.Refusing() {
+		t.Errorf("before any version: %v", err)
+	}
+	for _, mode := range []lease.Mode{lease.Hold, lease.Serve} {
+		g := open(t, mode, 30*time.Millisecond)
+		p, err := g.Begin("a", 0, "", nothing)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sheet, err := g.Begin("a", 0, "sheet", nothing)
+		if err != nil {
+			t.Fatal(err)
+		}
+		testwait.Until(t, "the lease to end", func() bool { return g.Left() < 0 })
+		if err := p.Still(); (mode == lease.Hold) != errors.Is(err, ErrNoLease) {
+			t.Errorf("%s: the rest of a request, half sent: %v", mode, err)
+		}
+		if err := sheet.Still(); !errors.Is(err, ErrNoLease) {
+			t.Errorf("%s: planned work goes on without a lease: %v", mode, err)
+		}
+		if _, err := g.Begin("a", 0, "", nothing); (mode == lease.Hold) != errors.Is(err, ErrNoLease) {
+			t.Errorf("%s: a new request: %v", mode, err)
+		}
+		if g.Lost(); !g.Refusing() {
+			t.Errorf("%s: goes on in a life that was replaced", mode)
+		}
+		p.End()
+		sheet.End()
+	}
+}
+
+// A version has been taken in only once nothing goes out under an older one: what it forbids is broken off, the rest is
+// waited for.
+func TestTakeWaitsForPasses(t *testing.T) {
+	g := open(t, lease.Hold, time.Hour)
+	broken := make(chan string, 4)
+	begin := func(host, planned string) *Pass {
+		t.Helper()
+		p, err := g.Begin(host, 0, planned, func() { broken <- host + planned })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	closed, goesOn, withdrawn := begin("a", ""), begin("b", ""), begin("b", "sheet")
+	done := make(chan error, 1)
+	go func() { done <- g.Take(t.Context(), view(2, []string{"a"})) }()
+	got := []string{testwait.Value(t, "a request to be broken off", broken), testwait.Value(t, "another", broken)}
+	if strings.Join(got, " ") != "a bsheet" && strings.Join(got, " ") != "bsheet a" {
+		t.Errorf("broken off: %v", got)
+	}
+	if err := closed.Still(); !errors.Is(err, ErrCordoned) {
+		t.Errorf("the rest of a request to a cordoned server: %v", err)
+	}
+	if err := withdrawn.Still(); !errors.Is(err, ErrWithdrawn) {
+		t.Errorf("the rest of what was withdrawn: %v", err)
+	}
+	if _, err := g.Begin("a", 0, "", nothing); !errors.Is(err, ErrCordoned) {
+		t.Errorf("a new request there: %v", err)
+	}
+	later := begin("b", "") // under the new version: nobody waits for it
+	closed.End()
+	withdrawn.End()
+	select {
+	case err := <-done:
+		t.Fatalf("taken in while a request goes out under the old version: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	if g.Holds() != 1 {
+		t.Errorf("told as taken in: %d", g.Holds())
+	}
+	goesOn.End()
+	if err := testwait.Value(t, "the version to be taken in", done); err != nil || g.Holds() != 2 {
+		t.Errorf("%v, holds %d", err, g.Holds())
+	}
+	later.End()
+	if g.Grant(g.clock.Now(), 3, time.Hour) {
+		t.Error("a lease on a version that was not taken in")
+	}
+	stuck := begin("b", "")
+	defer stuck.End()
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer stop()
+	if err := g.Take(ctx, view(4, nil)); !errors.Is(err, context.DeadlineExceeded) || g.Holds() != 2 {
+		t.Errorf("%v, holds %d", err, g.Holds())
+	}
+}
+
+// What the network spoils, and what is too long, is refused on either side.
+func TestBodies(t *testing.T) {
+	spoil := false
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var e Enrol
+		if err := Read(r, 64, &e); err != nil {
+			Write(w, NewProblem(CodeWrong, err.Error()))
+			return
+		}
+		if spoil {
+			w.Header().Set(headerDigest, digest([]byte("another")))
+			w.Write([]byte(`{"life":7}`))
+			return
+		}
+		Write(w, Enrolled{Life: 7})
+	}))
+	defer s.Close()
+	addr := strings.TrimPrefix(s.URL, "http://")
+	var got Enrolled
+	if err := Call(t.Context(), s.Client(), addr, "/", map[string]string{"name": "n"}, &got); err != nil || got.Life != 7 {
+		t.Errorf("%+v %v", got, err)
+	}
+	var p *Problem
+	if err := Call(t.Context(), s.Client(), addr, "/", map[string]string{"name": strings.Repeat("n", 64)}, &got); !errors.As(err, &p) || p.Code != CodeWrong {
+		t.Errorf("too long: %v", err)
+	}
+	req, _ := http.NewRequest(http.MethodPost, s.URL, strings.NewReader(`{"name":"n"}`))
+	req.Header.Set(headerDigest, digest([]byte(`{"name":"m"}`)))
+	if resp, err := s.Client().Do(req); err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("a spoilt request: %v %v", resp, err)
+	} else {
+		resp.Body.Close()
+	}
+	spoil = true
+	if err := Call(t.Context(), s.Client(), addr, "/", map[string]string{"name": "n"}, &got); !errors.Is(err, ErrSpoilt) {
+		t.Errorf("a spoilt answer: %v", err)
+	}
+}
+
+// BenchmarkPass is what the gate adds to an attempt.
+func BenchmarkPass(b *testing.B) {
+	g := NewGate(lease.Hold, Clock{}, metrics.New())
+	g.Take(context.Background(), view(1, []string{"x"}))
+	g.Grant(g.clock.Now(), 1, time.Hour)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			p, err := g.Begin("a", 0, "", nothing)
+			if err != nil || p.Still() != nil {
+				b.Error(err)
+				return
+			}
+			p.End()
+		}
+	})
+}
