--- a/cmd/merlinarch/bench_test.go
+++ b/cmd/merlinarch/bench_test.go
@@ -18,6 +18,7 @@
 
 	"merlinarch/internal/config"
 	"merlinarch/internal/features"
+	"merlinarch/internal/registrar"
 )
 
 // BenchmarkRequest is a request on a kept connection: through the router, with its ledger off and on, and through a
@@ -60,6 +61,36 @@
 	stop = startRouter(b, addr, withLedger, &router)
 	runLoad(b, "ledger", "http://"+router)
 	stop()
+	withAccord, end := startRegistrar(b)
+	defer end()
+	stop = startRouter(b, addr, withAccord, &router)
+	runLoad(b, "accord", "http://"+router)
+	stop()
+}
+
+// startRegistrar runs the only registrar of a cluster in this process, with the terms as they are set by default.
+func startRegistrar(b *testing.B) (f features.Features, stop func()) {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	f = features.Default()
+	f.Accord.Cluster, f.Accord.Registrars = "bench", map[string]string{"r0": l.Addr().String()}
+	l.Close()
+	o := registrar.Options{Cluster: "bench", Name: "r0", Registrars: f.Accord.Registrars, Dir: b.TempDir(), Terms: f.Accord.Terms()}
+	if err := registrar.Init(o); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- registrar.Run(ctx, o, zap.NewNop()) }()
+	return f, func() {
+		cancel()
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
+	}
 }
 
 // startRouter serves in this process, with fifteen hosts at one address; the function it returns ends it.
--- a/internal/decide/rulebook/rulebook_test.go
+++ b/internal/decide/rulebook/rulebook_test.go
@@ -248,3 +248,31 @@
 		t.Errorf("not understood: %v", got)
 	}
 }
+
+// Two cordons are asked for in one moment, and pass the budget only together: exactly one is agreed, whichever comes first
+// in the record. Judged when they arrive, each on what stood then, both would be.
+func TestTwoCordonsInOneMoment(t *testing.T) {
+	for _, order := range [][2]string{{"s0", "s1"}, {"s1", "s0"}} {
+		b := New(cordon.Budget{Share: 0.125}, 1000)
+		standing, agreed := b.Document.Rules.Cordons, 0
+		for i, host := range order {
+			if err := b.Budget.Judge(cordon.Target{Host: host}, standing, servers(8)); err != nil {
+				t.Fatalf("by itself %s is refused: %v", host, err)
+			}
+			a := ask(b, fmt.Sprint(i), closing(host))
+			a.Base = 1
+			if got := b.Ask(a, 1); got.Refused == RefusedStale { // as a client does, asked again on what stands now
+				a.Base, a.Key = got.Version, a.Key+" again"
+				got = b.Ask(a, 1)
+				if got.Refused != RefusedBudget {
+					t.Errorf("the second: %+v", got)
+				}
+			} else if got.Refused == "" {
+				agreed++
+			}
+		}
+		if agreed != 1 || len(b.Document.Rules.Cordons) != 1 {
+			t.Errorf("%v: %d agreed, %v", order, agreed, b.Document.Rules.Cordons)
+		}
+	}
+}
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -350,9 +350,12 @@
 	if err != nil {
 		return accord.NewProblem(accord.CodeWrong, "from: expected a version")
 	}
-	steps, err := f.store.steps(from, 64)
+	steps, err := f.store.steps(from, stepsTogether)
 	if err != nil {
 		return accord.NewProblem(accord.CodeWrong, err.Error())
 	}
+	if len(steps) > 0 && steps[0].Head.Version != from {
+		return accord.NewProblem(accord.CodeBusy, "this registrar does not have this version yet: ask another")
+	}
 	return accord.Versions{Steps: steps}
 }
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -184,6 +184,11 @@
 	}
 }
 
+// ask asks another registrar something that needs no body.
+func (p *peers) ask(ctx context.Context, addr, path string, out any, patience time.Duration) error {
+	return p.post(ctx, addr, path, nil, out, patience)
+}
+
 func (p *peers) post(ctx context.Context, addr, path string, in, out any, patience time.Duration) error {
 	ctx, stop := context.WithTimeout(ctx, patience)
 	defer stop()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -165,6 +165,7 @@
 	}
 	f.running.Store(n)
 	work.Go(func() { ticks(inner, o.Terms, in) })
+	work.Go(func() { fill(inner, o, s, f, out, toDisk, log) })
 	done := make(chan struct{})
 	go func() {
 		<-ctx.Done()
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -42,6 +42,7 @@
 	Serve func(ctx context.Context, a Arrival) hosts.Reply
 	Site  func(server int) string // nil: all are in site a
 	Links bool                    // false: processes speak directly, which takes fewer descriptors
+	Slow  bool                    // little traffic: many processes share few cores
 }
 
 // Arrival is a request as a server got it, whole.
@@ -154,6 +155,9 @@
 // Join makes a registrar's disk anew, by the command that operators use.
 func (c *Cluster) Join(name string) (string, error) { return c.registrar("join", name) }
 
+// Settings is a process's file of settings.
+func (c *Cluster) Settings(name string) string { return c.file(name) }
+
 // Disk is where a registrar keeps its record.
 func (c *Cluster) Disk(name string) string { return filepath.Join(c.Dir, name+".record") }
 
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -37,6 +37,7 @@
 	conns  map[net.Conn]struct{}
 	record [][]byte // what connections sent to the target, the latest last
 	keep   bool
+	passed int64 // bytes, both ways
 }
 
 // New relays from a loopback address of its own to a target. The target need not be there yet.
@@ -108,6 +109,13 @@
 	return len(old)
 }
 
+// Passed is how many bytes went through, both ways.
+func (k *Link) Passed() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.passed
+}
+
 // Close ends the link.
 func (k *Link) Close() {
 	k.once.Do(func() {
@@ -257,6 +265,7 @@
 func (k *Link) draw(n int) (wait time.Duration, spoil int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.passed += int64(n)
 	f := k.faults
 	wait, spoil = f.Delay, -1
 	if f.Rate > 0 {
