--- a/internal/accord/gate.go
+++ b/internal/accord/gate.go
@@ -27,7 +27,7 @@
 	holder lease.Holder
 	view   *rulebook.View // nil: none has been taken in
 	passes map[*Pass]struct{}
-	empty  chan struct{} // closed when an older version's last pass has ended; nil: nobody waits
+	empty  chan struct{} // closed when the last pass that was broken off has ended; nil: nobody waits
 }
 
 // NewGate makes a closed gate.
@@ -41,7 +41,7 @@
 	host    string
 	born    int64
 	planned string
-	version uint64 // under which it began
+	broken  bool // off: a version has come that forbids it
 	abort   func()
 }
 
@@ -54,7 +54,7 @@
 	if err := g.allows(host, born, planned); err != nil {
 		return nil, err
 	}
-	p := &Pass{gate: g, host: host, born: born, planned: planned, version: g.view.Version(), abort: abort}
+	p := &Pass{gate: g, host: host, born: born, planned: planned, abort: abort}
 	g.passes[p] = struct{}{}
 	return p, nil
 }
@@ -98,13 +98,13 @@
 	g.wake()
 }
 
-// wake is called under the lock: it tells Take when the last pass of an older version has ended.
+// wake is called under the lock: it tells Take when the last pass that was broken off has ended.
 func (g *Gate) wake() {
-	if g.empty == nil || g.view == nil {
+	if g.empty == nil {
 		return
 	}
 	for p := range g.passes {
-		if p.version < g.view.Version() {
+		if p.broken {
 			return
 		}
 	}
@@ -112,8 +112,9 @@
 	g.empty = nil
 }
 
-// Take puts a newer version in force. It returns once nothing goes out under an older one any more: what the new
-// version forbids is broken off, the rest has been written. Only then has the version been taken in.
+// Take puts a newer version in force. It returns once nothing that it forbids goes out any more; only then has the version
+// been taken in. What an older version let begin, and this one allows as well, goes on. Danger: waited for, one server
+// that does not read would keep this dispatcher from every later version, and in the end from its lease.
 func (g *Gate) Take(ctx context.Context, v *rulebook.View) error {
 	g.mu.Lock()
 	if g.view != nil && v.Version() <= g.view.Version() {
@@ -126,6 +127,7 @@
 	for p := range g.passes {
 		if !v.Open(p.host, p.born) || p.planned != "" && !v.Planned(p.planned) {
 			g.count.Inc("accord.broken_off")
+			p.broken = true
 			p.abort()
 		}
 	}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -87,6 +87,9 @@
 		}
 		m, err := c.raw.Write(rest[:min(piece, len(rest))])
 		if err != nil {
+			if forbidden := pass.Still(); forbidden != nil { // broken off for that: the host is not to blame
+				err = forbidden
+			}
 			return false, err
 		}
 		rest = rest[m:]
