--- a/cmd/merlinarch/accord.go
+++ b/cmd/merlinarch/accord.go
@@ -38,7 +38,7 @@
 type operator struct {
 	settings, author, reason string
 	patience                 time.Duration
-	wait, force              bool
+	wait, force, changes     bool
 }
 
 func (o *operator) flags(c *cobra.Command) {
@@ -50,6 +50,7 @@
 // changing are the flags of commands that change the rules.
 func (o *operator) changing(c *cobra.Command, env func(string) string) {
 	o.flags(c)
+	o.changes = true
 	c.Flags().StringVar(&o.reason, "reason", "", "why; kept in the record")
 	c.Flags().StringVar(&o.author, "author", env("USER"), "who; kept in the record")
 	c.Flags().BoolVar(&o.wait, "wait", false, "end once it is confirmed, or tell who is missing")
@@ -59,6 +60,9 @@
 
 // begin reads the settings and makes a client. The context ends with the patience, or with a signal.
 func (o *operator) begin() (context.Context, func(), *accord.Client, string, error) {
+	if o.changes && o.author == "" {
+		return nil, nil, nil, "", errors.New("--author: expected who asks for it, as USER is not set")
+	}
 	f, err := features.Load(o.settings, readSettings)
 	if err != nil {
 		return nil, nil, nil, "", err
--- a/internal/decide/cordon/cordon.go
+++ b/internal/decide/cordon/cordon.go
@@ -157,16 +157,20 @@
 
 // Report is one dispatcher's evidence on a server, of late.
 type Report struct {
-	Host     string `json:"host"`
-	Answered int    `json:"answered"` // attempts that it answered, well or with an error
-	Erred    int    `json:"erred"`    // of these, with an error
+	Host     string  `json:"host"`
+	Answered float64 `json:"answered"` // attempts that it answered, well or with an error
+	Erred    float64 `json:"erred"`    // of these, with an error
 }
 
-// Fold adds what a dispatcher tells now to what it told before, of which seven eighths count: about the last eight beats.
+// keepReport is the part of what was told before that counts at the next beat: about the last 64 count, since a server that
+// fails is left alone for seconds between two attempts.
+const keepReport = 63.0 / 64
+
+// Fold adds what a dispatcher tells now to what it told before, which counts for less and less.
 func Fold(before, now []Report) []Report {
 	sum := map[string]Report{}
 	for _, r := range before {
-		if r.Answered, r.Erred = r.Answered*7/8, r.Erred*7/8; r.Answered > 0 {
+		if r.Answered, r.Erred = r.Answered*keepReport, r.Erred*keepReport; r.Answered >= 0.5 {
 			sum[r.Host] = r
 		}
 	}
@@ -204,11 +208,11 @@
 	for _, name := range slices.Sorted(maps.Keys(reports)) {
 		judged, bad := 0, []string{}
 		for _, r := range reports[name] {
-			if r.Answered < max(1, a.Least) {
+			if r.Answered < float64(max(1, a.Least)) {
 				continue
 			}
 			judged++
-			if float64(r.Erred) >= a.Share*float64(r.Answered) {
+			if r.Erred >= a.Share*r.Answered {
 				bad = append(bad, r.Host)
 			}
 		}
--- a/internal/decide/record/record.go
+++ b/internal/decide/record/record.go
@@ -393,6 +393,9 @@
 	}
 	out = append(out, s.dueWork(w)...)
 	for _, host := range w.Auto.Suspects(w.Reports, d.Rules.Cordons) {
+		if s.Book.Budget.Judge(cordon.Target{Host: host}, d.Rules.Cordons, w.Listed()) != nil {
+			continue // it would be refused, again and again
+		}
 		out = append(out, Entry{Ask: &rulebook.Ask{Key: fmt.Sprintf("auto %s %d", host, d.Head.Version), Base: d.Head.Version,
 			Author: "registrar", Reason: "dispatchers agree that it fails", Evidence: w.Listed(),
 			Changes: []rulebook.Change{{Kind: rulebook.KindCordon, Cordon: &cordon.Target{Host: host}, Auto: true}}}})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -331,7 +331,7 @@
 // leave late.
 func (g *Gateway) release(e logic.ReleaseStatus) {
 	if g.rules != nil {
-		e = g.rules.release(e)
+		e = g.rules.release(e, g.clock.Now())
 	}
 	if !e.IsReply || e.Reply == logic.VoteCounts {
 		if e.Build == g.last.Build && e.Cap < g.last.Cap {
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -19,6 +19,7 @@
 	hosts   map[logic.ServerID]Host          // as listed
 	lifted  map[logic.ServerID]time.Duration // when the cordon of this life was lifted: it counts as started then
 	news    *logic.ReleaseStatus             // the platform's latest; nil: none yet
+	newsAt  time.Duration                    // when it came
 	fleet   *Fleet
 }
 
@@ -101,11 +102,11 @@
 }
 
 // release narrows the platform's news.
-func (r *rules) release(e logic.ReleaseStatus) logic.ReleaseStatus {
+func (r *rules) release(e logic.ReleaseStatus, now time.Duration) logic.ReleaseStatus {
 	if !e.IsReply || e.Reply == logic.VoteCounts {
 		kept := e
 		kept.IsReply = false
-		r.news = &kept
+		r.news, r.newsAt = &kept, now
 	}
 	return r.view.Release(e, r.conduct)
 }
@@ -133,7 +134,9 @@
 	}
 	if r.news != nil && r.news.Phase == logic.OnTrial {
 		if now := r.view.Release(*r.news, r.conduct); now.Cap != g.last.Cap || now.Build != g.last.Build {
-			g.release(*r.news)
+			again := *r.news
+			again.Age += g.clock.Now() - r.newsAt
+			g.release(again)
 		}
 	}
 	d := r.view.Document.Rules
--- a/internal/registrar/dispatch_test.go
+++ b/internal/registrar/dispatch_test.go
@@ -188,3 +188,46 @@
 		}
 	}
 }
+
+// A site flaps while work waits for it, and another's calendar says that it is away while it is there: each sheet is
+// printed once, in time.
+func TestFlappingSiteAndWrongCalendar(t *testing.T) {
+	t.Parallel()
+	p := printer.New()
+	var gone atomic.Bool
+	s := begin(t, cluster.Options{Registrars: 3, Dispatchers: 2, Servers: 4, Seed: 24, Accord: settings(map[string]any{"cold": "1s"}),
+		Site: func(server int) string { return []string{"a", "a", "b", "c"}[server] },
+		Serve: func(ctx context.Context, a cluster.Arrival) hosts.Reply {
+			if a.Server == "s-2" && gone.Load() {
+				return hosts.Reply{Kind: hosts.Silent}
+			}
+			return p.Serve(ctx, a)
+		}})
+	s.busy("s-2")
+	s.busy("s-3")
+	now := time.Now()
+	s.change(s.Operator(), rulebook.Change{Kind: rulebook.KindSite, Name: "c", Site: &rulebook.Site{
+		Outages: []rulebook.Span{{From: now.Add(-time.Minute).UnixMilli(), Until: now.Add(time.Hour).UnixMilli()}}}})
+	var work []rulebook.Change
+	for i := range 4 {
+		work = append(work, planned(fmt.Sprint("b-", i), "b", 40*time.Second), planned(fmt.Sprint("c-", i), "c", 40*time.Second))
+	}
+	gone.Store(true)
+	s.change(s.Operator(), work...)
+	for range 3 {
+		time.Sleep(2500 * time.Millisecond)
+		gone.Store(false)
+		time.Sleep(time.Second)
+		gone.Store(true)
+	}
+	gone.Store(false)
+	for i := range 4 {
+		s.reaches(s.Operator(), fmt.Sprint("b-", i), record.Done)
+		s.reaches(s.Operator(), fmt.Sprint("c-", i), record.Done)
+	}
+	for key, n := range p.Sheets() {
+		if n != 1 {
+			t.Errorf("%s printed %d times", key, n)
+		}
+	}
+}
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -308,6 +308,8 @@
 func (n *node) ready(rd raft.Ready) {
 	if rd.SoftState != nil {
 		n.role(rd.SoftState)
+	} else if s := n.rn.BasicStatus(); n.leading && s.GetTerm() != n.term { // it leads again, in another term
+		n.role(&s.SoftState)
 	}
 	for _, r := range rd.ReadStates {
 		if string(r.RequestCtx) == strconv.FormatUint(n.proofID, 10) && len(n.proving) > 0 {
@@ -637,21 +639,35 @@
 func (n *node) listed() []cordon.Server {
 	lists := map[string][]cordon.Server{}
 	for name, l := range n.lists {
-		lists[name] = l.servers
+		if n.present(name) {
+			lists[name] = l.servers
+		}
 	}
 	return cordon.Pool(lists)
 }
 
+// present tells whether a dispatcher was heard not long ago: what one told that is gone by now is no evidence.
+func (n *node) present(name string) bool {
+	m, ok := n.state.Members[name]
+	return ok && m.Life != 0 && !n.roll.Over(n.opts.Clock.Now(), name, m.Life)
+}
+
 // watch is what this leader knows beside the record.
 func (n *node) watch() record.Watch {
 	now := n.opts.Clock.Now()
+	reports := map[string][]cordon.Report{}
+	for name, r := range n.reports {
+		if n.present(name) {
+			reports[name] = r
+		}
+	}
 	met := map[string][]contact.Evidence{}
 	for name, e := range n.met {
 		if now-e.at <= 2*n.opts.Terms.Beat {
 			met[name] = e.met
 		}
 	}
-	return record.Watch{Roll: n.roll, Now: now, Listed: n.listed, Reports: n.reports, Auto: n.opts.Auto, Passed: now - n.counted,
+	return record.Watch{Roll: n.roll, Now: now, Listed: n.listed, Reports: reports, Auto: n.opts.Auto, Passed: now - n.counted,
 		Met: contact.Pool(met), Unix: n.unix(), Planned: n.opts.Planned}
 }
 
--- a/internal/registrar/store.go
+++ b/internal/registrar/store.go
@@ -1,14 +1,17 @@
 package registrar
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"hash/fnv"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -105,7 +108,9 @@
 }
 
 func openFile(path string) (*bbolt.DB, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
+	// Which pages are free is found by reading all of them at each start. Danger: a spoilt list of free pages would have
+	// good ones written over.
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType, NoFreelistSync: true})
 	switch {
 	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, fmt.Errorf("%s: %w", path, errInUse)
@@ -176,6 +181,9 @@
 	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("%s: %w", path, ErrNoDisk)
 	}
+	if err := sound(path); err != nil {
+		return nil, err
+	}
 	db, err := openFile(path)
 	if err != nil {
 		return nil, err
@@ -187,6 +195,74 @@
 	return s, nil
 }
 
+// sound reads a whole disk once before any of it is relied on, and finds each key anew from the top. Danger: the library
+// panics on a page that is not what it was, or reads where nothing is; some of what it does at an opening for writing it
+// does in a goroutine of its own, whose faults would end the process. What has been read here it reads there safely.
+func sound(path string) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%s: %w: %v", path, ErrSpoilt, p)
+		}
+	}()
+	if err := bothHeads(path); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, ReadOnly: true})
+	switch {
+	case errors.Is(err, bolterrors.ErrTimeout):
+		return fmt.Errorf("%s: %w", path, errInUse)
+	case err != nil:
+		return fmt.Errorf("%s: %w: %w", path, ErrSpoilt, err)
+	}
+	defer func() { err = errors.Join(err, db.Close()) }()
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	return db.View(func(tx *bbolt.Tx) error {
+		if info.Size() < tx.Size() {
+			return fmt.Errorf("%w: %d bytes of %d", ErrSpoilt, info.Size(), tx.Size())
+		}
+		return tx.ForEach(func(name []byte, b *bbolt.Bucket) error {
+			again := b.Cursor()
+			return b.ForEach(func(k, v []byte) error {
+				if _, err := unsealed(k, v); err != nil {
+					return err
+				}
+				if found, _ := again.Seek(k); !bytes.Equal(found, k) {
+					return fmt.Errorf("%w (%x)", ErrSpoilt, k)
+				}
+				return nil
+			})
+		})
+	})
+}
+
+// bothHeads checks the file's two head pages, of which each write replaces the older one whole, within a sector. Danger:
+// with the newer one spoilt the library takes the older one, and with it the disk as it was one write earlier: promises
+// that were told as written would be gone. The form is that of bbolt's files, version 2.
+func bothHeads(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	page := int64(os.Getpagesize())
+	for i := range int64(2) {
+		head := make([]byte, 64)
+		if _, err := f.ReadAt(head, i*page+16); err != nil {
+			return fmt.Errorf("%w: head %d: %w", ErrSpoilt, i, err)
+		}
+		sum := fnv.New64a()
+		sum.Write(head[:56])
+		if binary.LittleEndian.Uint32(head) != 0xED0CDAED || binary.LittleEndian.Uint64(head[56:]) != sum.Sum64() {
+			return fmt.Errorf("%w: head %d", ErrSpoilt, i)
+		}
+	}
+	return nil
+}
+
 func (s *store) load() error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
--- /dev/null
+++ b/internal/registrar/store_test.go
@@ -0,0 +1,175 @@
+package registrar
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"merlinarch/internal/decide/cordon"
+	"merlinarch/internal/decide/lease"
+	"merlinarch/internal/decide/rulebook"
+)
+
+func options(dir string) Options {
+	return Options{Cluster: "c", Name: "r0", Dir: dir, Registrars: map[string]string{"r0": "127.0.0.1:1", "r1": "127.0.0.1:2", "r2": "127.0.0.1:3"},
+		Terms: lease.DefaultTerms(), Budget: cordon.DefaultBudget(), Cold: time.Minute}
+}
+
+// filled makes a disk with promises, a log, versions and marks on it.
+func filled(t *testing.T, dir string) string {
+	t.Helper()
+	o := options(dir)
+	if err := Init(o); err != nil {
+		t.Fatal(err)
+	}
+	s, err := openStore(o.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(2); i < 40; i++ {
+		m := &pb.Message{Term: proto.Uint64(3), Vote: proto.Uint64(7), Commit: proto.Uint64(i - 1), Entries: []*pb.Entry{{Term: proto.Uint64(3),
+			Index: proto.Uint64(i), Type: pb.EntryNormal.Enum(), Data: []byte(fmt.Sprintf("entry %d %0200d", i, i))}}}
+		b := batch{messages: []*pb.Message{m}, marks: map[uint64]Mark{i % 3: {Match: i, Term: 3}},
+			steps: []rulebook.Step{{Head: rulebook.Head{Version: i, Hash: fmt.Sprint("hash", i)}}}}
+		if err := s.write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.close(); err != nil {
+		t.Fatal(err)
+	}
+	return o.path()
+}
+
+// content is all that a disk tells, as text.
+func content(path string) (text string, err error) {
+	s, err := openStore(path)
+	if err != nil {
+		return "", err
+	}
+	defer s.close()
+	hard, conf, err := s.mem.InitialState()
+	if err != nil {
+		return "", err
+	}
+	first, _ := s.mem.FirstIndex()
+	last, _ := s.mem.LastIndex()
+	entries, err := s.mem.Entries(first, last+1, 1<<30)
+	if err != nil {
+		return "", err
+	}
+	snap, err := s.mem.Snapshot()
+	if err != nil {
+		return "", err
+	}
+	text = fmt.Sprint(s.id.ID, s.id.Name, hard, conf, first, last, entries, string(snap.Data))
+	marks, err := s.marks()
+	if err != nil {
+		return "", err
+	}
+	steps, err := s.steps(2, 100)
+	return fmt.Sprint(text, marks, steps), err
+}
+
+// A disk that is torn, or holds what was not written, is refused; it is never read as something else.
+func TestSpoiltDisk(t *testing.T) {
+	path := filled(t, t.TempDir())
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := content(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused, harmless := 0, 0
+	for seed := range uint64(120) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		text := bytes.Clone(good)
+		switch seed % 3 {
+		case 0: // bytes changed
+			for range 1 + rng.IntN(32) {
+				text[rng.IntN(len(text))] ^= byte(1 + rng.IntN(255))
+			}
+		case 1: // a page that was not written
+			at := rng.IntN(len(text)/4096) * 4096
+			clear(text[at : at+4096])
+		case 2: // torn off
+			text = text[:rng.IntN(len(text))]
+		}
+		spoilt := filepath.Join(t.TempDir(), "r0.record")
+		if err := os.WriteFile(spoilt, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := content(spoilt)
+		switch {
+		case err != nil && !errors.Is(err, ErrSpoilt):
+			t.Errorf("seed %d: %v", seed, err)
+		case err != nil:
+			refused++
+		case got != want:
+			t.Errorf("seed %d: read as something else", seed)
+		default:
+			harmless++
+		}
+	}
+	t.Logf("%d refused, %d where nothing that counts was hit", refused, harmless)
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
+
+// What a disk that fails was told is never told as written, and nothing more is written after it.
+func TestFailingDisk(t *testing.T) {
+	path := filled(t, t.TempDir())
+	s, err := openStore(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, done := newMailbox[toStore](), make(chan struct{})
+	defer close(done)
+	delivered, failed := make(chan struct{}, 8), make(chan error, 1)
+	s.db.Close() // as a disk that is gone
+	go runStore(s, in, done, func([]*pb.Message) { delivered <- struct{}{} }, func(err error) { failed <- err })
+	written := make(chan error, 1)
+	in.put(toStore{append: &pb.Message{Term: proto.Uint64(4), Vote: proto.Uint64(7), Commit: proto.Uint64(2)}, finished: func(err error) { written <- err }})
+	if err := <-written; err == nil {
+		t.Error("told as written")
+	}
+	if err := <-failed; err == nil {
+		t.Error("no failure told")
+	}
+	if len(delivered) > 0 {
+		t.Error("what depends on it was let go")
+	}
+	if err := s.write(batch{}); err == nil {
+		t.Error("goes on after a failure")
+	}
+}
+
+func TestDiskIsMadeOnce(t *testing.T) {
+	dir := t.TempDir()
+	path := filled(t, dir)
+	if err := Init(options(dir)); err == nil {
+		t.Error("made anew over an old one")
+	}
+	if _, err := openStore(filepath.Join(dir, "none.record")); !errors.Is(err, ErrNoDisk) {
+		t.Errorf("%v", err)
+	}
+	one, err := openStore(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer one.close()
+	if _, err := openStore(path); !errors.Is(err, errInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+}
