--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -220,11 +220,12 @@
 	return false
 }
 
-// endIdle ends all connections that stand idle, and on which nothing has come.
+// endIdle ends the connections that have stood idle for a while, and on which nothing has come. Danger: one that was used
+// a moment ago may well have its next request under way; that one's answer ends it.
 func (a *conns) endIdle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for a.endOldest(a.idle, 0) {
+	for a.endOldest(a.idle, a.limits.IdleLeast) {
 	}
 }
 
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -89,8 +89,9 @@
 	// Danger: net/http, told to keep nothing alive, closes what it holds for idle at once, also under a request that has
 	// come and was not read. Answers end their connections from here on, and idle ones are ended only where silent.
 	s.ending.Store(true)
-	s.conns.endIdle()
-	time.Sleep(s.limits.DrainClosing - s.limits.DrainTaking)
+	for until := time.Now().Add(s.limits.DrainClosing - s.limits.DrainTaking); time.Now().Before(until); time.Sleep(max(s.limits.IdleLeast, time.Millisecond)) {
+		s.conns.endIdle()
+	}
 	ctx, stop := context.WithTimeout(context.Background(), s.limits.DrainLast)
 	defer stop()
 	err := s.http.Shutdown(ctx)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -444,7 +444,7 @@
 	return nil
 }
 
-// repeatOK tells whether an attempt at this server would keep to the request's zone and to the rule on repeats.
+// repeatOK tells whether an attempt here would keep to the request's zone and to the rule on repeats.
 func (r *Router) repeatOK(q *request, s *server) bool {
 	over := q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow
 	same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
