--- a/cmd/merlinarch/accord.go
+++ b/cmd/merlinarch/accord.go
@@ -129,6 +129,9 @@
 				return err
 			}
 			fmt.Fprintf(c.OutOrStdout(), "cordon of %s agreed as version %d\n", t.ID(), a.Version)
+			if s, err := leaderStatus(ctx, client); err == nil {
+				printBounds(c.OutOrStdout(), s)
+			}
 			if !o.wait {
 				return nil
 			}
@@ -140,6 +143,13 @@
 	return c
 }
 
+// printBounds tells where D is longer than the settings say.
+func printBounds(out io.Writer, s accord.Status) {
+	for _, site := range slices.Sorted(maps.Keys(s.Bounds)) {
+		fmt.Fprintf(out, "site %s is about to be cut off: its dispatchers have longer leases, and D is %s there\n", site, s.Bounds[site])
+	}
+}
+
 // waitConfirmed waits until a cordon is confirmed, and tells who is missing where it is not in time.
 func waitConfirmed(ctx context.Context, out io.Writer, client *accord.Client, id string) error {
 	missing := "no leader has told how far it is"
@@ -306,6 +316,7 @@
 
 func printStatus(out io.Writer, s accord.Status) {
 	fmt.Fprintf(out, "cluster %s, version %d, leader %s in term %d, D %s\n", s.Cluster, s.Head.Version, s.Role.Name, s.Role.Term, s.Bound)
+	printBounds(out, s)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	for _, c := range s.Cordons {
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -119,7 +119,8 @@
 	Cluster     string                      `json:"cluster"`
 	Role        Role                        `json:"role"`
 	Head        rulebook.Head               `json:"head"`
-	Bound       string                      `json:"bound"` // D
+	Bound       string                      `json:"bound"`            // D
+	Bounds      map[string]string           `json:"bounds,omitempty"` // D by site, where its dispatchers get longer leases now
 	Rules       rulebook.Rules              `json:"rules"`
 	Waiting     []rulebook.Waiting          `json:"waiting,omitempty"`
 	Cordons     []record.Cordon             `json:"cordons,omitempty"`
--- a/internal/decide/record/record_test.go
+++ b/internal/decide/record/record_test.go
@@ -263,3 +263,28 @@
 		t.Errorf("kept: %+v", s.Work)
 	}
 }
+
+// A dispatcher gets a longer lease where its site is about to be cut off, and the bound there is told.
+func TestLongerLease(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	s.Apply(Entry{Enrol: &Enrol{Name: "n0", Token: "t", Mode: lease.Hold, Site: "x"}}, 1)
+	s.ask(1, "1", rulebook.Change{Kind: rulebook.KindSite, Name: "x", Site: &rulebook.Site{Outages: []rulebook.Span{{From: 100_000, Until: 200_000}}}})
+	s.Apply(Entry{Term: 1, Open: &Open{Version: 2}}, 1)
+	long := terms
+	long.Longest = 10 * time.Second
+	for at, want := range map[int64]time.Duration{80_000: long.Length, 95_000: long.Longest, 150_000: long.Longest, 250_000: long.Length} {
+		if got := s.Lease(long, "x", at); got != want {
+			t.Errorf("at %d: %v, want %v", at, got, want)
+		}
+	}
+	if got := s.Lease(terms, "x", 95_000); got != terms.Length {
+		t.Errorf("longer than the settings allow: %v", got)
+	}
+	if got := s.Bounds(long, 95_000); len(got) != 1 || got["x"] != long.BoundOf(long.Longest) || len(s.Bounds(long, 80_000)) != 0 {
+		t.Errorf("%v", got)
+	}
+	// A new leader waits for the longest that an earlier one may have granted.
+	if r := lease.NewRoll(long, 0); len(r.Missing(long.Wait(long.Longest)-1, s.Members, 2)) != 1 {
+		t.Error("a longer lease of an earlier leader counts as over")
+	}
+}
--- a/internal/decide/record/work.go
+++ b/internal/decide/record/work.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"merlinarch/internal/decide/contact"
+	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/rulebook"
 	"merlinarch/internal/decide/windows"
 )
@@ -285,3 +286,36 @@
 	}
 	return out
 }
+
+// Lease is how long a lease a dispatcher at a site gets now. One at a site that is about to be cut off, by the operators'
+// calendar or by a forecast that is known, gets the longest there is: it can't ask again for a while. What that does to D
+// for this site is told with every answer about it.
+func (s *State) Lease(t lease.Terms, site string, now int64) time.Duration {
+	if t.Longest <= t.Length || site == "" {
+		return t.Length
+	}
+	soon := now + t.Longest.Milliseconds()
+	for _, o := range s.calendar(site) {
+		if o.From <= soon && now < o.Until {
+			return t.Longest
+		}
+	}
+	if f := s.Contacts.Forecast(now, soon, site, nil); f.Known && f.Up < aboutToGo {
+		return t.Longest
+	}
+	return t.Length
+}
+
+// aboutToGo is the chance to be reached under which a site counts as about to be cut off.
+const aboutToGo = 0.5
+
+// Bounds is D for the sites whose dispatchers get longer leases now.
+func (s *State) Bounds(t lease.Terms, now int64) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, m := range s.Members {
+		if d := s.Lease(t, m.Site, now); d > t.Length {
+			out[m.Site] = t.BoundOf(d)
+		}
+	}
+	return out
+}
--- a/internal/registrar/cluster_test.go
+++ b/internal/registrar/cluster_test.go
@@ -815,3 +815,37 @@
 	s.confirmed(s.Operator(), "s-1")
 	run(0, "registrar", "status", "--json")
 }
+
+// Dispatchers at a site that is about to be cut off get longer leases: they serve through a cut that is longer than an
+// ordinary one, and a cordon waits for them, as is told.
+func TestLongerLeaseBeforeAPlannedCut(t *testing.T) {
+	t.Parallel()
+	long := terms
+	long.Longest = 6 * time.Second
+	s := begin(t, cluster.Options{Registrars: 3, Dispatchers: 2, Servers: 4, Seed: 15, Accord: settings(map[string]any{"longest_lease": long.Longest.String()})})
+	s.busy("s-1")
+	now := time.Now()
+	s.change(s.Operator(), rulebook.Change{Kind: rulebook.KindSite, Name: "a", Site: &rulebook.Site{
+		Outages: []rulebook.Span{{From: now.UnixMilli(), Until: now.Add(time.Hour).UnixMilli()}}}})
+	testwait.Until(t, "the longer bound to be told", func() bool {
+		st := s.status(s.Operator(), time.Second)
+		return st != nil && st.Bounds["a"] == long.BoundOf(long.Longest).String()
+	})
+	time.Sleep(2 * terms.Beat) // both have asked since
+	for _, l := range s.between("n1", s.others("")...) {
+		l.Cut()
+	}
+	cut := time.Now()
+	_, agreed := s.change(s.Operator(), closing("s-1"))
+	time.Sleep(terms.Length + time.Second)
+	if !s.Ready("n1") {
+		t.Error("its longer lease did not last")
+	}
+	at := s.confirmed(s.Operator(), "s-1")
+	if early := cut.Add(long.Longest - 2*terms.Beat); at.Before(early) {
+		t.Errorf("confirmed %v after the cut", at.Sub(cut))
+	}
+	testwait.Until(t, "it to refuse", func() bool { return !s.Ready("n1") })
+	s.quiet("s-1", agreed.Add(long.BoundOf(long.Longest)+slack), time.Now(), "the longer D was over")
+	s.quiet("s-1", at.Add(slack), time.Now(), "it was confirmed")
+}
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -324,6 +324,12 @@
 	d := n.state.Book.Document
 	s := accord.Status{Cluster: n.opts.Cluster, Role: n.shown.Load().state, Head: d.Head, Bound: n.opts.Terms.Bound().String(), Rules: d.Rules,
 		Waiting: d.Waiting, Work: n.state.Work, Sites: n.state.Reached(n.unix()), Cordons: n.state.Cordons(w), Registrars: n.state.Registrars}
+	for site, d := range n.state.Bounds(n.opts.Terms, n.unix()) {
+		if s.Bounds == nil {
+			s.Bounds = map[string]string{}
+		}
+		s.Bounds[site] = d.String()
+	}
 	for _, name := range slices.Sorted(maps.Keys(n.state.Members)) {
 		m := n.state.Members[name]
 		if m.Life == 0 {
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -118,9 +118,10 @@
 		ok       bool
 	}
 	asked struct { // needs proof that this registrar leads, and the record as of then
-		at    time.Duration
-		beat  *accord.Beat // nil: only the record
-		reply func(any)
+		at     time.Duration
+		beat   *accord.Beat // nil: only the record
+		length time.Duration
+		reply  func(any)
 	}
 	greeted struct { // what another registrar tells of itself at its start
 		hello Hello
@@ -505,7 +506,8 @@
 			return
 		}
 		_, was, _ := n.roll.Heard(b.Name, b.Life)
-		n.roll.Asked(a.at, b.Name, b.Life, b.Holds, n.opts.Terms.Length)
+		a.length = n.state.Lease(n.opts.Terms, n.state.Members[b.Name].Site, n.unix())
+		n.roll.Asked(a.at, b.Name, b.Life, b.Holds, a.length)
 		n.dirty = n.dirty || b.Holds > was
 		if len(b.Listed) > 0 {
 			n.lists[b.Name] = list{b.List, b.Listed}
@@ -557,7 +559,7 @@
 			if a.beat == nil {
 				a.reply(n.status())
 			} else {
-				a.reply(n.grant(a.beat))
+				a.reply(n.grant(a.beat, a.length))
 			}
 		}
 		return true
@@ -565,12 +567,12 @@
 }
 
 // grant gives a lease on the newest version.
-func (n *node) grant(b *accord.Beat) any {
+func (n *node) grant(b *accord.Beat, length time.Duration) any {
 	if m := n.state.Members[b.Name]; m.Life != b.Life {
 		return accord.NewProblem(accord.CodeLife, "another life took its place")
 	}
 	d := n.state.Book.Document
-	g := accord.Granted{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: d.Head.Version, LeaseNs: int64(n.opts.Terms.Length),
+	g := accord.Granted{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: d.Head.Version, LeaseNs: int64(length),
 		WantList: b.List != "" && n.lists[b.Name].sum != b.List, Tasks: n.state.Tasks(b.Name, b.Life)}
 	if b.Holds != d.Head.Version {
 		g.Document = &d
