--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,11 +48,14 @@
 	idle   bool          // in that of the idle ones: nothing has been read since its last answer
 	since  time.Time     // when it came there
 	closed bool
-	ending bool // to be closed between requests
+	ending bool          // to be closed between requests
+	heard  bool          // something has come on it
+	busy   bool          // a head was read, and its answer is not written
+	left   chan struct{} // of the request that is being answered: closed once its client has gone unseen by net/http
 }
 
 // Read takes a connection from among the idle ones before net/http sees a byte of its next request, and
-// ends one that is to be closed, or was idle for too long, only if no byte of a next request has come. Danger:
+// ends one that is to be closed, or has said nothing for too long, only if no byte of a request has come. Danger:
 // net/http tells that it is busy only after the head was read; closed in between, a request that was taken
 // would be lost.
 func (c *conn) Read(b []byte) (int, error) {
@@ -59,8 +63,12 @@
 		n, err := c.Conn.Read(b)
 		c.allowWrites()
 		c.all.mu.Lock()
-		between := c.ending || c.idle
+		between := c.ending || c.idle || !c.heard
 		c.end(false)
+		c.heard = c.heard || n > 0
+		if n == 1 && len(b) == 1 && c.busy {
+			c.watch()
+		}
 		over := between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 		if over && sock.Silent(c.Conn) {
 			c.all.mu.Unlock()
@@ -81,6 +89,34 @@
 	}
 }
 
+// watch looks for the client's leaving while its request is answered; the lock is held. Danger: net/http reads one byte
+// behind a request, to see the connection end, and no more until the answer is out; where that byte was there (of a
+// next request, or a line break too many), it never sees the end, and the request would be sent on for nobody.
+func (c *conn) watch() {
+	left, every := c.left, max(c.all.limits.LeftEvery, time.Millisecond)
+	var look func()
+	look = func() {
+		c.all.mu.Lock()
+		defer c.all.mu.Unlock()
+		switch {
+		case c.closed || c.left != left: // answered
+		case sock.HungUp(c.Conn):
+			close(left)
+			c.left = nil
+		default:
+			time.AfterFunc(every, look)
+		}
+	}
+	time.AfterFunc(every, look)
+}
+
+// leaving gives the channel that is closed if the client of the request that is being answered goes unseen by net/http.
+func (c *conn) leaving() <-chan struct{} {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.left
+}
+
 // SetReadDeadline sets net/http's deadlines, but not on a connection that was just told to end. Danger: it would
 // count as ending and stay for as long as it likes, and none other would make room.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -95,21 +131,47 @@
 // SetWriteDeadline leaves the deadline to allowWrites. Danger: net/http takes it away after each answer.
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 
-// Close counts it off, once.
+// Close ends it; once its descriptor is free it is counted off. Danger: a connection that closes with bytes unread, or
+// on which some come later, is reset, and with that goes what the client has not read of its last answer. So behind an
+// answer the sending side alone closes first, and what still comes is read, within bounds, until the client closes too.
 func (c *conn) Close() error {
 	c.all.mu.Lock()
-	if !c.closed {
-		c.closed = true
+	again, behind := c.closed, c.busy
+	c.closed, c.busy = true, false
+	if !again {
 		c.all.leave(c)
 		c.end(false)
-		c.all.present--
-		select {
-		case c.all.freed <- struct{}{}:
-		default:
-		}
 	}
 	c.all.mu.Unlock()
-	return c.Conn.Close()
+	if again {
+		return net.ErrClosed
+	}
+	if behind && c.all.limits.Linger > 0 && c.CloseWrite() == nil {
+		go func() {
+			defer c.release()
+			if c.Conn.SetReadDeadline(time.Now().Add(c.all.limits.Linger)) == nil {
+				io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes)) // its end, or the bounds
+			}
+		}()
+		return nil
+	}
+	return c.release()
+}
+
+// lingerBytes is how much is read behind a last answer.
+const lingerBytes = 256 << 10
+
+// release frees the descriptor.
+func (c *conn) release() error {
+	err := c.Conn.Close()
+	c.all.mu.Lock()
+	c.all.present--
+	c.all.mu.Unlock()
+	select {
+	case c.all.freed <- struct{}{}:
+	default:
+	}
+	return err
 }
 
 // allowWrites gives answers their time. Danger: a client that doesn't read would hold a connection and memory
@@ -177,9 +239,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if to == http.StateActive {
+	if c.busy = to == http.StateActive; c.busy {
 		a.leave(c)
+		c.left = make(chan struct{})
 	} else {
+		c.left = nil
 		a.join(c, a.idle)
 	}
 }
@@ -220,13 +284,17 @@
 	return false
 }
 
-// endIdle ends the connections that have stood idle for a while, and on which nothing has come. Danger: one that was used
-// a moment ago may well have its next request under way; that one's answer ends it.
-func (a *conns) endIdle() {
+// endSilent ends the connections that have stood idle for a while, and those that have brought nothing for longer, if
+// nothing has come on them, and tells how many are left. Danger: one that was used a moment ago may well have its next
+// request under way; that one's answer ends it.
+func (a *conns) endSilent() (left int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for a.endOldest(a.idle, a.limits.IdleLeast) {
 	}
+	for a.endOldest(a.fresh, a.limits.FreshLeast) {
+	}
+	return a.present
 }
 
 // starved tells that an answer is to close its connection: more stand than the node wants and none is idle, or a
@@ -254,20 +322,51 @@
 type listener struct {
 	net.Listener
 	conns *conns
+	until atomic.Pointer[time.Time] // set: what stands in the backlog is taken, and nothing after this
+}
+
+// errDrained ends accepting.
+var errDrained = errors.New("nothing more is accepted")
+
+// finish ends accepting once the backlog is empty, or in d at the latest. Danger: what stands there was taken by the
+// machine, and would be reset with all that its clients have sent.
+func (l *listener) finish(d time.Duration) {
+	until := time.Now().Add(d)
+	l.until.Store(&until)
+	l.wakeBy(time.Now().Add(backlogEmpty))
+}
+
+// backlogEmpty is for how long nothing has to come for the backlog to count as empty: what stands there comes at once.
+const backlogEmpty = 5 * time.Millisecond
+
+// wakeBy has Accept return by a time.
+func (l *listener) wakeBy(t time.Time) {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(t) != nil {
+		l.Listener.Close()
+	}
+}
+
+// over tells that nothing more is to be accepted, though something may come.
+func (l *listener) over() bool {
+	until := l.until.Load()
+	return until != nil && time.Now().After(*until)
 }
 
 // Accept takes the next connection. Danger: with no descriptor left nothing can be accepted nor sent, and
 // what stands in the backlog is taken all the same. So it waits, for moments, until an answer has closed a
 // connection or one that stands idle can be closed; requests that are held are few enough for that.
 func (l *listener) Accept() (net.Conn, error) {
-	for l.conns.full() {
+	for l.conns.full() && !l.over() {
 		l.conns.count.Inc("clients.accept_waits")
 		l.conns.evict()
 		l.conns.owe(l.conns.limits.OwedAtOnce)
 		l.conns.pause()
 	}
 	l.conns.owe(0)
-	for {
+	for !l.over() {
+		if l.until.Load() != nil {
+			l.wakeBy(time.Now().Add(backlogEmpty))
+		}
 		nc, err := l.Listener.Accept()
 		switch {
 		case err == nil:
@@ -284,10 +383,13 @@
 			l.conns.count.Inc("clients.accept_short")
 			l.conns.evict()
 			l.conns.pause()
+		case l.until.Load() != nil:
+			return nil, errDrained
 		default:
 			return nil, err
 		}
 	}
+	return nil, errDrained
 }
 
 // owe notes how many of the next answers owe their connections to new ones.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -46,7 +46,7 @@
 	ServerIdle   time.Duration // idle connections to servers are closed after this
 	ServerSettle time.Duration // after an answer its connection is left alone for this long
 	AnswerWhole  time.Duration // from a server's answer's first byte to its last
-	SendGrace    time.Duration // a send decided before a drain or a lower cap may leave so long after it
+	SendGrace    time.Duration // a send decided before a drain may leave so long after it
 	PeerDial     time.Duration // for a connection to discovery or the platform
 	ListSilence  time.Duration // a watch of discovery silent for longer is broken
 	NewsSilence  time.Duration // a connection to the platform silent for longer is broken
@@ -55,6 +55,9 @@
 	DrainTaking  time.Duration // after SIGTERM: go on as before
 	DrainClosing time.Duration // then end connections between requests until this
 	DrainLast    time.Duration // then finish what was taken, at the longest
+	DrainKill    time.Duration // after SIGTERM: when the process may be ended, whatever it does
+	LeftEvery    time.Duration // pauses between looks for the end of a connection that has more bytes before it
+	Linger       time.Duration // behind a last answer, for its client to close too; zero: the connection closes at once
 }
 
 // Told is what the deployment says this node may use.
@@ -103,6 +106,8 @@
 		MoveGrace:   1500 * time.Millisecond,
 		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
+		DrainKill: min(longest, 3*time.Second) + 700*time.Millisecond,
+		LeftEvery: 50 * time.Millisecond, Linger: 500 * time.Millisecond,
 	}
 	l.OwedAtOnce = 8
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -22,6 +22,8 @@
 	Server logic.ServerID
 	SentAt time.Duration // the latest attempt's, on the module's clock
 
+	LeaveBy time.Duration // the latest time at which the latest attempt may go out, on the module's clock; zero: any
+
 	attempts  int
 	out, gone bool
 }
@@ -128,7 +130,7 @@
 			d.effects.Stray(a)
 			return
 		}
-		c.attempts, c.SentAt, c.Server, c.out = c.attempts+1, now, a.Server, true
+		c.attempts, c.SentAt, c.LeaveBy, c.Server, c.out = c.attempts+1, now, a.LeaveBy, a.Server, true
 		d.effects.Start(c, a.Timeout)
 	case logic.Cancel:
 		c := d.calls[a.ID]
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -55,6 +56,8 @@
 	Deadline time.Time // when the decisions' time is over
 	Planned  string    // the name of the planned work that it is, under the agreed rules; empty: a client's request
 
+	left atomic.Bool
+
 	mu     sync.Mutex
 	ended  bool
 	answer Answer
@@ -79,6 +82,12 @@
 	return true
 }
 
+// Leave notes that nobody waits for the answer any more.
+func (e *Exchange) Leave() { e.left.Store(true) }
+
+// Left tells that nobody waits for the answer any more.
+func (e *Exchange) Left() bool { return e.left.Load() }
+
 // Release gives back what an answer holds.
 func (a Answer) Release() {
 	if a.Free != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,7 @@
 	Server   logic.ServerID
 	Decided  time.Time // when the module asked for it
 	Deadline time.Time // when the wait for its outcome ends
+	LeaveBy  time.Time // the latest time at which its first byte may go out; zero: any
 	// Report is called exactly once, with how it ended, never from Start itself.
 	Report func(Result)
 }
@@ -53,7 +55,7 @@
 	Start(Attempt) (cancel func())
 	Probe(server logic.ServerID, report func(Result))
 	CloseIdle(server logic.ServerID)
-	// Recall voids sends to servers of a build that were decided before now and are later than the grace.
+	// Recall voids sends to servers of a build that were decided before now and have not left.
 	Recall(build logic.BuildID)
 }
 
@@ -82,6 +84,9 @@
 // At is a moment's time since the origin.
 func (c Clock) At(t time.Time) time.Duration { return t.Sub(c.origin) }
 
+// Time is the moment that is so long after the origin.
+func (c Clock) Time(since time.Duration) time.Time { return c.origin.Add(since) }
+
 // FromUnix maps a Unix time in milliseconds; zero, long ago, stays zero.
 func (c Clock) FromUnix(ms float64) time.Duration {
 	if ms <= 0 {
@@ -142,7 +147,10 @@
 	driver *driver.Driver[*request]
 	calls  map[*exchange.Exchange]*call
 	last   logic.ReleaseStatus // as handed to the module
-	rules  *rules              // nil: no accord
+	listed bool                // servers are known
+	told   bool                // the newest build's state is known
+	ready  atomic.Bool
+	rules  *rules // nil: no accord
 	router *logic.Router
 }
 
@@ -176,7 +184,13 @@
 func (g *Gateway) Submit(ex *exchange.Exchange) error { return g.post(arrived{ex}) }
 
 // Left tells that a request's client has gone, or that the node has answered it by itself.
-func (g *Gateway) Left(ex *exchange.Exchange) { g.notify(left{ex}) }
+func (g *Gateway) Left(ex *exchange.Exchange) {
+	ex.Leave() // an attempt that is being made sees it at once, whether or not the settings let it be given up
+	g.notify(left{ex})
+}
+
+// Ready tells that the module knows servers and the newest build's state: before that it can send nothing.
+func (g *Gateway) Ready() bool { return g.ready.Load() }
 
 // Listed brings discovery's news.
 func (g *Gateway) Listed(full bool, hosts []Host) {
@@ -337,7 +351,8 @@
 		if e.Build == g.last.Build && e.Cap < g.last.Cap {
 			g.parts.Servers.Recall(e.Build)
 		}
-		g.last = e
+		g.last, g.told = e, true
+		g.ready.Store(g.listed)
 	}
 	g.feed(e)
 }
@@ -352,9 +367,12 @@
 	if timeout > 0 && now.Add(timeout).Before(deadline) {
 		deadline = now.Add(timeout)
 	}
-	id, n := c.ID, c.Attempt()
+	id, n, leaveBy := c.ID, c.Attempt(), time.Time{}
+	if c.LeaveBy > 0 {
+		leaveBy = g.clock.Time(c.LeaveBy)
+	}
 	g.count.Inc("attempts.sent")
-	c.Of.cancel = g.parts.Servers.Start(Attempt{Exchange: c.Of.ex, Server: c.Server, Decided: now, Deadline: deadline,
+	c.Of.cancel = g.parts.Servers.Start(Attempt{Exchange: c.Of.ex, Server: c.Server, Decided: now, Deadline: deadline, LeaveBy: leaveBy,
 		Report: func(r Result) { g.notify(attempted{id, n, r}) }})
 }
 
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -66,6 +66,8 @@
 	}
 	g.parts.Servers.Listed(e.event.Full, e.hosts)
 	g.feed(e.event)
+	g.listed = g.listed || len(e.hosts) > 0
+	g.ready.Store(g.listed && g.told)
 }
 
 // keep notes a list as it came.
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -36,8 +36,8 @@
 	if c == nil {
 		return failed
 	}
-	// Danger: the request may have ended, or the host begun to drain, while the connection was made.
-	if a.Exchange.Ended() || ctx.Err() != nil || p.late(h, a.Decided) {
+	// Danger: the request may have ended, its client left, or the host begun to drain, while the connection was made.
+	if a.Exchange.Ended() || a.Exchange.Left() || ctx.Err() != nil || p.late(h, a) {
 		p.count.Inc("attempts.given_up_unsent")
 		p.give(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -21,7 +21,7 @@
 type host struct {
 	gateway.Host
 	drained  time.Time // when it was first told to drain or be gone; zero: it is neither
-	replaced bool      // another life or address has taken its place
+	replaced bool      // another life or address has taken its place, or nothing has
 	idle     []*conn   // the latest used last
 }
 
@@ -107,12 +107,13 @@
 	}
 }
 
-// remove takes a host off the list; attempts that are out go on.
+// remove takes a host off the list; attempts that are out go on. Danger: its address may be another build's at any moment,
+// and a send that was decided for it would run there, unseen by that one's cap; what has not left does not leave.
 func (p *Pool) remove(h *host, now time.Time) {
 	if h == nil {
 		return
 	}
-	h.State = logic.Gone
+	h.State, h.replaced = logic.Gone, true
 	h.note(now)
 	p.dropIdle(h)
 	delete(p.hosts, h.ID)
@@ -151,7 +152,7 @@
 	}
 }
 
-// Recall voids sends to a build that were decided before now and would leave after the grace.
+// Recall voids sends to a build that were decided before now and have not left.
 func (p *Pool) Recall(build logic.BuildID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,16 +163,17 @@
 	p.recalled[build] = now
 }
 
-// late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send
-// until a drain's grace has passed or a lower cap binds; it is given up then, never sent late.
-func (p *Pool) late(h *host, decided time.Time) bool {
+// late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send until a
+// drain's grace has passed, a lower cap binds (that comes sooner than a dial takes), or its servers no longer drop a
+// repeat; it is given up then, never sent late.
+func (p *Pool) late(h *host, a gateway.Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	drained := !h.drained.IsZero() && now.After(h.drained.Add(p.limits.SendGrace))
 	at, ok := p.recalled[h.Build]
-	recalled := ok && decided.Before(at) && now.After(at.Add(p.limits.SendGrace))
-	return h.replaced || drained || recalled
+	recalled := ok && a.Decided.Before(at)
+	return h.replaced || drained || recalled || !a.LeaveBy.IsZero() && now.After(a.LeaveBy)
 }
 
 // life tells which life of which server a host is.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -30,24 +30,35 @@
 	return err == nil && silent
 }
 
+// HungUp tells that the other side has ended a connection, for good or for sending, whatever stands unread before the
+// end. Where that can't be told, it has not.
+func HungUp(c net.Conn) bool {
+	const closed, closeWait = 7, 8 // of the kernel's states of a connection, include/net/tcp_states.h
+	hungUp := false
+	ask(c, func(info *unix.TCPInfo) { hungUp = info.State == closed || info.State == closeWait })
+	return hungUp
+}
+
 // SinceReceived is how long ago the last byte came in on a connection; zero where that can't be told.
 func SinceReceived(c net.Conn) time.Duration {
+	ago := time.Duration(0)
+	ask(c, func(info *unix.TCPInfo) { ago = time.Duration(info.Last_data_recv) * time.Millisecond })
+	return ago
+}
+
+// ask has the kernel's account of a connection looked at, where there is one.
+func ask(c net.Conn, look func(*unix.TCPInfo)) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return 0
+		return
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return 0
+		return
 	}
-	ago := time.Duration(0)
-	err = rc.Control(func(fd uintptr) {
+	rc.Control(func(fd uintptr) { // it may have closed
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+			look(info)
 		}
 	})
-	if err != nil {
-		return 0
-	}
-	return ago
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -263,11 +263,13 @@
 
 // Actions.
 type (
-	// Send starts an attempt; a zero Timeout means until the client gives up.
+	// Send starts an attempt; a zero Timeout means until the client gives up. LeaveBy is the latest time at which its
+	// first byte may go out, where a repeat is cheap for a while only; zero: any.
 	Send struct {
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration
+		LeaveBy time.Duration
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -446,7 +446,7 @@
 
 // repeatOK tells whether an attempt here would keep to the request's zone and to the rule on repeats.
 func (r *Router) repeatOK(q *request, s *server) bool {
-	over := q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.ranAt+q.class.DedupWindow
+	over := q.class.Repeat == Unsafe || r.now+r.s.Tick >= q.repeatBy()
 	same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && s.Zone == q.ranOn.Zone ||
 		q.class.Scope == ScopeCell && s.Cell == q.ranOn.Cell
 	return (q.Zone == "" || s.Zone == q.Zone) && (!q.mayRan || q.class.Repeat == Safe || !over && same)
@@ -554,7 +554,7 @@
 	q.attempts++
 	s.inFlight++
 	r.inFlight++
-	r.do(Send{ID: q.ID, Server: s.ID})
+	r.do(Send{ID: q.ID, Server: s.ID, LeaveBy: q.repeatBy()})
 	return true
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -136,6 +136,14 @@
 	first             first
 }
 
+// repeatBy is when servers no longer drop a repeat of a keyed request that may have run; zero where that binds nothing.
+func (q *request) repeatBy() time.Duration {
+	if !q.mayRan || q.class.Repeat != Keyed {
+		return 0
+	}
+	return q.ranAt + q.class.DedupWindow
+}
+
 // first is what the first attempt tells of its build, kept back while a second one may tell more.
 type first struct {
 	Arm
