--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -142,12 +142,14 @@
 	var parser fastjson.Parser
 	var object objects
 	for lines.Scan() {
-		silence.Reset(w.limits.ListSilence)
 		text, err := object.line(lines.Bytes(), w.limits.MaxList)
 		if err != nil {
 			w.count.Inc("discovery.unreadable")
 			return fmt.Errorf("discovery: %w: %w", errUnreadable, err)
 		}
+		if !object.open() { // Danger: a list that trickles and never ends is no sign of life
+			silence.Reset(w.limits.ListSilence)
+		}
 		if len(text) == 0 { // a sign of life, or a part of a list
 			continue
 		}
--- a/internal/testwait/testwait.go
+++ b/internal/testwait/testwait.go
@@ -2,16 +2,19 @@
 // runs out of it, so that a slow machine gives the same verdict as a fast one.
 package testwait
 
-import (
-	"testing"
-	"time"
-)
+import "time"
+
+// T is what of a test is needed here; a *testing.T is one.
+type T interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
 
 // Patience is far beyond what any step of a test takes.
 const Patience = 20 * time.Second
 
 // Until waits until something has become so.
-func Until(t testing.TB, what string, done func() bool) {
+func Until(t T, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(Patience); !done(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -21,7 +24,7 @@
 }
 
 // Value waits for what a channel brings.
-func Value[T any](t testing.TB, what string, from <-chan T) T {
+func Value[V any](t T, what string, from <-chan V) V {
 	t.Helper()
 	select {
 	case v := <-from:
