--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -140,7 +139,7 @@
 	}
 	c.Limits, err = NewLimits(Told{Cores: v.GetFloat64("limits", "cores"),
 		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets"),
-		Dial: time.Duration(own.GetFloat64("caps", "dial_timeout_ms")*1000) * time.Microsecond}, c.Settings)
+		Dial: settings.DialTimeout(own)}, c.Settings)
 	if c.Settings.MaxOpen <= 0 || c.Settings.MaxOpen > c.Limits.MaxOpen { // the module decides what is let go
 		c.Settings.MaxOpen = c.Limits.MaxOpen
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -95,6 +95,16 @@
 		{"no settings", `"settings"`, `"other"`, "settings"},
 		{"no classes", `"classes"`, `"other"`, "classes"},
 		{"unknown repeat", `"safe"`, `"odd"`, "repeat"},
+		{"a class twice", `"classes":[`, `"classes":[{"name":"c","repeat":"unsafe","deadline_ms":5.0},`, `"c" comes twice`},
+		{"a class without a name", `"name":"c"`, `"name":""`, "class 0: no name"},
+		{"a class without a time", `,"deadline_ms":1670.0`, ``, "neither aim_ms nor deadline_ms"},
+		{"a negative time", `"deadline_ms":1670.0`, `"deadline_ms":-1`, "class 0: deadline_ms: -1"},
+		{"a text for a time", `"drain_grace_ms":1000.0`, `"drain_grace_ms":"1s"`, `rules.drain_grace_ms: "1s"`},
+		{"an array for a number", `"max_open":20000`, `"max_open":[1]`, "caps.max_open"},
+		{"a negative dial time", `"dial_timeout_ms":250.0`, `"dial_timeout_ms":-250`, "caps.dial_timeout_ms: -250"},
+		{"a negative cap", `"api_timeout_ms":800.0`, `"exposure_caps":[0.1,-0.5]`, "family_info.exposure_caps[1]"},
+		{"a router beyond the last", `"me":1`, `"me":2`, "me is 2 of 2"},
+		{"a keyed class of no group", `"repeat":"safe"`, `"repeat":"keyed"`, "group"},
 		{"no listen", `"listen"`, `"other"`, "LB_LISTEN"},
 		{"impossible listen", `127.0.0.4:8000`, `127.0.0.4:99999`, "listen"},
 		{"no discovery", `"discovery"`, `"other"`, "LB_DISCOVERY"},
@@ -115,6 +125,49 @@
 	}
 }
 
+// What other customers' settings leave out, or take to an extreme, gives documented defaults, and limits that can be worked
+// with.
+func TestOddSettings(t *testing.T) {
+	const classes = `"classes":[{"name":"c","repeat":"safe","deadline_ms":1670.0}]`
+	for name, settings := range map[string]string{
+		"next to nothing": `{` + classes + `}`,
+		"nulls":           `{"me":null,"peers_total":null,"caps":null,"rules":{"drain_grace_ms":null},` + classes + `}`,
+		"zeros": `{"me":0,"peers_total":0,"caps":{"max_attempts":0,"max_open":0,"conn_idle_ms":0,"dial_timeout_ms":0},
+			"rules":{"drain_grace_ms":0,"cold_ms":0,"fall_ms":0},` + classes + `}`,
+		"very large": `{"caps":{"max_open":1e300,"conn_idle_ms":1e300,"dial_timeout_ms":1e300,"max_retry_after_ms":1e300},
+			"rules":{"drain_grace_ms":1e300,"cold_ms":1e18},"classes":[{"name":"c","repeat":"safe","aim_ms":1e300,"deadline_ms":1e300,"worth":1e300}]}`,
+		"unknown":  `{"never_heard_of":{"a":[1]},"caps":{"more":-1},` + classes + `}`,
+		"aim only": `{"classes":[{"name":"c","repeat":"safe","aim_ms":1670.0}]}`,
+	} {
+		at, end := strings.Index(good, `"settings":`)+len(`"settings":`), len(good)-1
+		c, err := Parse([]byte(good[:at]+settings+good[end:]), none)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		l, class := c.Limits, c.Settings.Classes[0]
+		for what, d := range map[string]time.Duration{"dial": l.DialTimeout, "probe": l.ProbeTimeout, "idle": l.ServerIdle, "vote": l.VoteTimeout,
+			"wait": l.MaxWait, "stall": l.WriteStall, "last": l.DrainLast, "kill": l.DrainKill, "aim": class.Aim, "deadline": class.Deadline} {
+			if d <= 0 || d > 3*365*24*time.Hour {
+				t.Errorf("%s: %s %v", name, what, d)
+			}
+		}
+		if l.SendGrace < 0 || c.Settings.MaxOpen <= 0 || c.Settings.Peers < 1 || c.Settings.MaxOpen > l.MaxOpen {
+			t.Errorf("%s: %+v %+v", name, c.Settings, l)
+		}
+	}
+}
+
+// SIGKILL comes the longest deadline after SIGTERM and 0.7 s, and a deadline of over 3 s counts as that.
+func TestKillIsExpectedInTime(t *testing.T) {
+	for deadline, want := range map[string]time.Duration{"500": 1200 * time.Millisecond, "1670.0": 2370 * time.Millisecond, "60000": 3700 * time.Millisecond} {
+		c, err := Parse([]byte(strings.Replace(good, "1670.0", deadline, 1)), none)
+		if err != nil || c.Limits.DrainKill != want {
+			t.Errorf("deadline %s ms: %v %v, want %v", deadline, c.Limits.DrainKill, err, want)
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -45,6 +45,7 @@
 	ProbeTimeout time.Duration // for a probe of a server
 	ServerIdle   time.Duration // idle connections to servers are closed after this
 	ServerSettle time.Duration // after an answer its connection is left alone for this long
+	SettleLeast  time.Duration // the same where there is no descriptor for another connection
 	AnswerWhole  time.Duration // from a server's answer's first byte to its last
 	SendGrace    time.Duration // a send decided before a drain may leave so long after it
 	PeerDial     time.Duration // for a connection to discovery or the platform
@@ -99,7 +100,7 @@
 		ReadWhole: 2200 * time.Millisecond, ClientIdle: 2200 * time.Millisecond, FreshLeast: 250 * time.Millisecond,
 		WriteStall:  10 * max(longest, time.Second),
 		DialTimeout: told.Dial, ProbeTimeout: told.Dial, ServerIdle: s.ConnIdle * 9 / 10,
-		ServerSettle: 2 * time.Millisecond, AnswerWhole: 400 * time.Millisecond,
+		ServerSettle: 20 * time.Millisecond, SettleLeast: 2 * time.Millisecond, AnswerWhole: 400 * time.Millisecond,
 		SendGrace: s.DrainGrace * 7 / 10,
 		PeerDial:  time.Second, ListSilence: 5 * time.Second, NewsSilence: 3500 * time.Millisecond,
 		VoteTimeout: s.Rollout.VoteTimeout,
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -17,6 +17,8 @@
 	first = 100 * time.Millisecond // pause after a first failure, where calls cost a shared service nothing
 	last  = 2 * time.Second        // the longest there
 
+	graceParts = 4 // the longest pause is so small a part of a drain's grace
+
 	askedPart = 0.8             // of the time in which every router has to ask: the rest is for the answer
 	moved     = 3 * time.Second // the window at a move: changes count as told 4 s after it, heard or not
 	widest    = 2.0             // of the time in which every router has to ask; after a failure four times it is granted
@@ -38,7 +40,13 @@
 // router's own answers, and nothing is shared.
 func OfDiscovery(s logic.Settings, seed uint64) Rule {
 	if !s.AskDiscovery || s.AskWithin <= 0 || s.Peers <= 1 {
-		return Rule{First: first, Last: last, Seed: seed}
+		// Danger: what the agent gets when discovery is back counts as told at once; a pause as long as the grace of a
+		// drain would hear of it when that is over. The agent answers at no cost.
+		rule := Rule{First: first, Last: last, Seed: seed}
+		if part := s.DrainGrace / graceParts; part > 0 {
+			rule.First, rule.Last = min(first, part), min(last, part)
+		}
+		return rule
 	}
 	// Multiples of the golden section leave no part of the window crowded, whichever routers happen to call.
 	_, place := math.Modf(float64(s.Self) * golden)
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -151,3 +151,16 @@
 		}
 	}
 }
+
+// Danger: what discovery tells when it is back counts as told at once; who pauses for longer than a drain's grace then goes
+// on sending to hosts that drain.
+func TestPausesEndBeforeADrainsGrace(t *testing.T) {
+	for _, grace := range []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second, time.Minute} {
+		p := New(OfDiscovery(logic.Settings{Peers: 300, DrainGrace: grace}, 1), false)
+		for i := range 20 {
+			if pause, _ := p.Failed(); pause > grace/2 || pause > last || pause <= 0 {
+				t.Errorf("grace %v, failure %d: pause %v", grace, i, pause)
+			}
+		}
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -237,6 +237,35 @@
 	n.await(t, "full=false hosts=2")
 }
 
+// Parts of a list that never ends are no signs of life: a watch that trickles is a broken one. So is one that falls silent
+// within a line.
+func TestTricklingWatch(t *testing.T) {
+	for _, text := range []string{"{\n", "  \"a\": 1,\n"} {
+		limits := testLimits()
+		limits.ListSilence = 100 * time.Millisecond
+		var calls atomic.Int32
+		n := start(t, limits, func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) > 1 {
+				tell(w, change)
+				hold(r)
+				return
+			}
+			io.WriteString(w, "{\n  \"seq\": 42,\n")
+			for i := 0; i < 4000 && r.Context().Err() == nil; i++ {
+				if text != "{\n" {
+					io.WriteString(w, text)
+				} else if i == 0 {
+					io.WriteString(w, `  "ho`)
+				}
+				http.NewResponseController(w).Flush()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+		n.await(t, "failed")
+		n.await(t, "full=false hosts=2")
+	}
+}
+
 // Discovery that can't be reached is told once, however often it is tried.
 func TestDown(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -191,16 +191,19 @@
 }
 
 // take gives the idle connection that was used last, or nil. One that has just brought an answer is left alone
-// for a moment. Danger: what a host sends right behind an answer, a second copy or the connection's end, comes a
-// little later; a request written meanwhile would take the one for its answer, or be lost with the other. It
-// costs a connection more where one host is asked again at once.
+// for a moment. Danger: what a host sends right behind an answer, a second copy or the connection's end, comes some
+// milliseconds later; a request written meanwhile would take the one for its answer, or be lost with the other. It
+// costs a connection more where one host is asked again at once; so where none is left, a shorter moment has to do.
 func (p *Pool) take(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now, settle := time.Now(), p.limits.ServerSettle
+	if p.open >= p.limits.ServerConns {
+		settle = p.limits.SettleLeast
+	}
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if now.Sub(c.usedAt) < p.limits.ServerSettle {
+		if now.Sub(c.usedAt) < settle {
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -361,6 +361,55 @@
 	if send(t, p, gateway.Attempt{}); h.accepted() != 2 {
 		t.Errorf("%d connections once the first has settled", h.accepted())
 	}
+	// Where no connection can be added, none is closed for one that settles: a shorter moment has to do.
+	p.mu.Lock()
+	p.limits.ServerConns = 2
+	p.mu.Unlock()
+	if send(t, p, gateway.Attempt{}); h.accepted() != 2 {
+		t.Errorf("%d connections where there is room for two", h.accepted())
+	}
+}
+
+// A second copy of an answer that comes some milliseconds behind it is nobody's answer: the next request to the host, made
+// before it comes, goes on another connection.
+func TestLateSecondAnswerIsNobodys(t *testing.T) {
+	real, err := config.NewLimits(config.Told{Cores: 1, MemoryMB: 64, Sockets: 256}, logic.Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := testLimits()
+	limits.ServerSettle = real.ServerSettle
+	asked, copied := make(chan struct{}, 1), make(chan struct{})
+	h := newStandIn(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 0 {
+			answer(c, r, strings.Replace(fine, "hi", "ok", 1))
+			return
+		}
+		answer(c, r, fine)
+		<-asked
+		io.WriteString(c, fine) // the copy
+		close(copied)
+		answer(c, r, strings.Replace(fine, "hi", "ok", 1))
+	})
+	p, _ := newPool(t, limits, h.host(1))
+	send(t, p, gateway.Attempt{})
+	p.mu.Lock() // five milliseconds have passed, however busy the machine is
+	for _, c := range p.hosts[1].idle {
+		c.usedAt = time.Now().Add(-5 * time.Millisecond)
+	}
+	c := p.hosts[1].idle
+	p.mu.Unlock()
+	if len(c) != 1 {
+		t.Fatalf("%d idle connections", len(c))
+	}
+	if taken := p.take(p.lookup(1)); taken != nil {
+		t.Error("a connection on which a copy may still come is used again")
+	}
+	asked <- struct{}{}
+	<-copied
+	if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK || string(r.Body) != "ok" {
+		t.Errorf("outcome %v, body %q", r.Outcome, r.Body)
+	}
 }
 
 // A spoilt answer is a reset, soon, and its connection is closed; what comes ahead of a good one is skipped.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,11 @@
 	return longest
 }
 
+// DialTimeout is the settings' time-out for connections to servers, which is the node's own; zero where there is none.
+func DialTimeout(v *fastjson.Value) time.Duration {
+	return (&reader{Value: v}).ms("caps", "dial_timeout_ms")
+}
+
 // count is a whole number.
 func (r *reader) count(path ...string) int {
 	const most = 1 << 31
@@ -93,6 +98,7 @@
 			VotesPerSec: r.number("family_info", "votes_per_s"), Clocked: r.text("family_info", "decided_by") == "clocked",
 		},
 	}
+	r.ms("caps", "dial_timeout_ms") // the node's own, no decision's
 	if r.err != nil {
 		return s, r.err
 	}
