--- a/cmd/merlinarch/standing_test.go
+++ b/cmd/merlinarch/standing_test.go
@@ -260,3 +260,61 @@
 		t.Errorf("a host whose drain was missed got requests until %v after the watch fell silent", late)
 	}
 }
+
+// Signals that come together, twice, or before the router listens end it once, in order, with what it has taken answered.
+func TestSignalsTogether(t *testing.T) {
+	t.Parallel()
+	held, release := make(chan struct{}, 1), make(chan struct{})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		held <- struct{}{}
+		<-release
+		io.WriteString(w, "notice")
+	}))
+	defer host.Close()
+	listen := freeAddr(t)
+	router := start(t, listing(listen, "127.0.0.1:1", entry("s-1", strings.TrimPrefix(host.URL, "http://"), "up")))
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	answer := make(chan string, 1)
+	go func() {
+		status, body, err := get(listen, "/api", "held")
+		answer <- fmt.Sprint(status, " ", body, " ", err)
+	}()
+	testwait.Value(t, "the request at its host", held)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1} {
+		if err := router.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	testwait.Until(t, "nothing more to be accepted", func() bool {
+		c, err := net.Dial("tcp", listen)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	close(release)
+	if got := testwait.Value(t, "the answer", answer); got != "200 notice <nil>" {
+		t.Error(got)
+	}
+	done := make(chan error, 1)
+	go func() { done <- router.Wait() }()
+	if err := testwait.Value(t, "the router to end", done); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+
+	early := start(t, listing(freeAddr(t), "127.0.0.1:1", entry("s-1", "127.0.0.1:1", "up")))
+	if err := early.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	go func() { done <- early.Wait() }()
+	err := testwait.Value(t, "the router to end that was told before it listened", done)
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		if status, ok := exit.Sys().(syscall.WaitStatus); !ok || status.Signal() != syscall.SIGTERM {
+			t.Errorf("ended with %v", err) // with an error of its own
+		}
+	}
+}
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -645,6 +645,103 @@
 	}
 }
 
+// A host that drains, is gone and is back under its name within one message is another life: what was decided for the
+// earlier one does not leave, its connections close, and the present one drains no more.
+func TestHostIsBackWithinOneMessage(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for answer(c, r, fine) != nil {
+		}
+	})
+	limits := testLimits()
+	limits.SendGrace = 0
+	p, _ := newPool(t, limits, h.host(1))
+	send(t, p, gateway.Attempt{})
+	before := p.lookup(1)
+	drains, gone, back := h.host(1), h.host(1), h.host(1)
+	drains.State, gone.State, back.Build = logic.Draining, logic.Gone, 8
+	for _, message := range [][]gateway.Host{{drains, gone, back}, {drains, gone, h.host(1)}} { // another build, or the same
+		p.Listed(false, message)
+		now := p.lookup(1)
+		if now == nil || now == before || p.late(now, gateway.Attempt{Decided: time.Now()}) || !p.late(before, gateway.Attempt{Decided: time.Now()}) {
+			t.Fatal("the earlier life may be sent to, or the present one not")
+		}
+		p.mu.Lock()
+		if len(before.idle) != 0 {
+			t.Error("the earlier life's connections stay")
+		}
+		p.mu.Unlock()
+		if r := send(t, p, gateway.Attempt{}); r.Outcome != logic.OK {
+			t.Errorf("outcome %v", r.Outcome)
+		}
+		before = now
+	}
+}
+
+// wholeAtTheEnd is a connection on which an answer comes whole in the moment in which its request is given up.
+type wholeAtTheEnd struct {
+	net.Conn
+	giveUp func()
+}
+
+func (c wholeAtTheEnd) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.giveUp()
+	return n, err
+}
+
+// An answer that comes whole with the deadline is an answer; its connection is not used again, as its own deadline may be
+// set any moment.
+func TestAnswerComesWholeWithTheDeadline(t *testing.T) {
+	h := newStandIn(t, func(_ int, c net.Conn, r *bufio.Reader) { answer(c, r, fine) })
+	raw, err := net.Dial("tcp", h.l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	c := newConn(wholeAtTheEnd{raw, stop}, limits{head: 4096, body: 4096, whole: patience})
+	r, written, err := c.roundTrip(ctx, []byte("GET /api HTTP/1.1\r\nHost: x\r\n\r\n"), nil)
+	if err != nil || !written || string(r.body) != "hi" || r.reusable {
+		t.Errorf("body %q, written %v, reusable %v: %v", r.body, written, r.reusable, err)
+	}
+}
+
+// A connection that its host closes as the request leaves: the request may have run, and is never resent here, whatever
+// its class; the module decides by it.
+func TestHostClosesAsTheRequestLeaves(t *testing.T) {
+	for _, m := range []exchange.Message{{Method: "GET", Target: "/api", ID: "safe"}, {Method: "POST", Target: "/api", ID: "keyed", DedupKey: "k", Body: []byte("b")},
+		{Method: "POST", Target: "/api", ID: "unsafe", Body: []byte("b")}} {
+		var mu sync.Mutex
+		ran := 0
+		h := newStandIn(t, func(n int, c net.Conn, r *bufio.Reader) {
+			for served := 0; ; served++ {
+				text := fine
+				if served == 1 {
+					text = ""
+				}
+				if answer(c, r, text) == nil {
+					return
+				}
+				mu.Lock()
+				ran++
+				mu.Unlock()
+				if served == 1 {
+					c.Close()
+					return
+				}
+			}
+		})
+		p, _ := newPool(t, testLimits(), h.host(1))
+		send(t, p, gateway.Attempt{})
+		r := send(t, p, gateway.Attempt{Exchange: exchange.New(m, exchange.Fields{}, time.Now().Add(patience))})
+		mu.Lock()
+		if r.Outcome != logic.Reset || ran != 2 || h.accepted() != 1 {
+			t.Errorf("%s: outcome %v, %d ran on %d connections", m.ID, r.Outcome, ran, h.accepted())
+		}
+		mu.Unlock()
+	}
+}
+
 // Neither builds, nor hosts, nor their lives leave anything behind.
 func TestNothingGrowsWithBuilds(t *testing.T) {
 	limits := testLimits()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -668,7 +668,7 @@
 
 // finish gives the final answer: a refusal where trying again is harmless, else a failure.
 func (r *Router) finish(q *request) {
-	if !q.mayRan || q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
+	if !q.mayRan || q.class.Repeat == Safe || q.class.Scope == ScopeAll && r.now < q.repeatBy() {
 		r.do(Refuse{ID: q.ID, RetryAfter: r.s.MaxRetryAfter / 2})
 	} else {
 		r.do(Fail{ID: q.ID})
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Formatting, vet, what packages of decisions may import, build and tests with the race detector (the limits on the
-# policy file are among the tests; fuzz targets run on their seeds).
+# Formatting, vet, what packages may import, build and tests with the race detector (the limits on the policy file are
+# among the tests; fuzz targets run on their seeds; KNOWN-RED.txt: see deploy/run-tests.sh).
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal logic)
@@ -16,4 +16,9 @@
 fi
 mkdir -p bin
 CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
-go test -race -count=1 ./...
+helpers=$(go list -f '{{range .Imports}}{{if eq . "testing"}}{{$.ImportPath}}{{end}}{{end}}' ./...)
+if [ -n "$helpers" ]; then
+    echo "imports testing outside test files: $helpers" >&2
+    exit 1
+fi
+./deploy/run-tests.sh
