--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,8 +57,6 @@
 	CloseIdle(server logic.ServerID)
 	// Recall voids sends to servers of a build that were decided before now and have not left.
 	Recall(build logic.BuildID)
-	// Bind voids sends for a key to servers of earlier builds that were decided before now and have not left.
-	Bind(key uint64, build logic.BuildID)
 }
 
 // Platform takes votes; Vote must not block.
@@ -407,8 +405,6 @@
 			a = g.rules.view.Vote(a, g.rules.conduct)
 		}
 		g.parts.Platform.Vote(a)
-	case logic.Bind:
-		g.parts.Servers.Bind(a.Key, a.Build)
 	case logic.Watch: // the watch of discovery always stands or is being renewed
 	case logic.Log:
 		g.log.Info(a.Text)
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -40,20 +40,13 @@
 	hosts    map[logic.ServerID]*host
 	open     int // connections that stand or are being made
 	recalled map[logic.BuildID]time.Time
-	bound    map[uint64]bound // by key
-}
-
-// bound is that a build has answered a key.
-type bound struct {
-	build logic.BuildID
-	at    time.Time
 }
 
 // New makes a pool; Close ends all that it has begun.
 func New(limits config.Limits, count *metrics.Registry) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pool{limits: limits, count: count, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
-		recalled: map[logic.BuildID]time.Time{}, bound: map[uint64]bound{}, room: &room{left: limits.AnswerRoom}}
+		recalled: map[logic.BuildID]time.Time{}, room: &room{left: limits.AnswerRoom}}
 	p.work.Go(p.retire)
 	return p
 }
@@ -170,17 +163,9 @@
 	p.recalled[build] = now
 }
 
-// Bind voids sends for a key to earlier builds that were decided before now and have not left. What is decided later is
-// not touched: the build may have been sent back by then.
-func (p *Pool) Bind(key uint64, build logic.BuildID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.bound[key] = bound{build, time.Now()}
-}
-
 // late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send until a
-// drain's grace has passed, a lower cap binds (that comes sooner than a dial takes), its servers no longer drop a
-// repeat, or a later build has answered its key; it is given up then, never sent late.
+// drain's grace has passed, a lower cap binds (that comes sooner than a dial takes), or its servers no longer drop a
+// repeat; it is given up then, never sent late.
 func (p *Pool) late(h *host, a gateway.Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -188,10 +173,6 @@
 	drained := !h.drained.IsZero() && now.After(h.drained.Add(p.limits.SendGrace))
 	at, ok := p.recalled[h.Build]
 	recalled := ok && a.Decided.Before(at)
-	if b, ok := p.bound[a.Exchange.Fields.Key]; ok && a.Exchange.Fields.HasKey && h.Build < b.build && a.Decided.Before(b.at) {
-		p.count.Inc("attempts.key_answered_meanwhile")
-		return true
-	}
 	return h.replaced || drained || recalled || !a.LeaveBy.IsZero() && now.After(a.LeaveBy)
 }
 
@@ -310,8 +291,6 @@
 		case <-tick.C:
 		}
 		p.mu.Lock()
-		// What was decided before has left or been given up by then: a dial holds it no longer.
-		maps.DeleteFunc(p.bound, func(_ uint64, b bound) bool { return time.Since(b.at) > 2*p.limits.DialTimeout+time.Second })
 		for _, h := range p.hosts {
 			h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
 				old := time.Since(c.usedAt) >= p.limits.ServerIdle
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -4,7 +4,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -25,7 +24,7 @@
 
 // Add appends the actions of one instance.
 func (r *Reply) Add(instance int64, actions []logic.Action) error {
-	if !slices.ContainsFunc(actions, told) {
+	if len(actions) == 0 {
 		return nil
 	}
 	if r.parts > 0 {
@@ -35,15 +34,10 @@
 	r.buf = append(r.buf, `{"who":`...)
 	r.buf = strconv.AppendInt(r.buf, instance, 10)
 	r.buf = append(r.buf, `,"decisions":[`...)
-	first := true
-	for _, a := range actions {
-		if !told(a) {
-			continue
-		}
-		if !first {
+	for i, a := range actions {
+		if i > 0 {
 			r.buf = append(r.buf, ',')
 		}
-		first = false
 		if err := r.action(a); err != nil {
 			return err
 		}
@@ -52,12 +46,6 @@
 	return nil
 }
 
-// told tells whether an action is one of the wire's. A Bind is not: there, sends take no time to leave.
-func told(a logic.Action) bool {
-	_, own := a.(logic.Bind)
-	return !own
-}
-
 // Line returns the finished line with its newline; it is valid until the next Reset.
 func (r *Reply) Line() []byte {
 	r.buf = append(r.buf, "]}\n"...)
--- a/logic/api.go
+++ b/logic/api.go
@@ -271,12 +271,6 @@
 		Timeout time.Duration
 		LeaveBy time.Duration
 	}
-	// Bind tells that a build has answered a key, under forward-only: what was decided before for this key and an earlier
-	// build, and has not left, must not leave.
-	Bind struct {
-		Key   uint64
-		Build BuildID
-	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
 		ID      RequestID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -587,7 +587,6 @@
 		}
 		if q.HasKey && r.s.Rollout.ForwardOnly {
 			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
-			r.do(Bind{Key: q.Key, Build: r.sticky[q.Key]})
 		}
 		blend(&q.class.took, 0.05, e.Took.Seconds())
 	}
