--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -103,6 +103,7 @@
 		{"an array for a number", `"max_open":20000`, `"max_open":[1]`, "caps.max_open"},
 		{"a negative dial time", `"dial_timeout_ms":250.0`, `"dial_timeout_ms":-250`, "caps.dial_timeout_ms: -250"},
 		{"a negative cap", `"api_timeout_ms":800.0`, `"exposure_caps":[0.1,-0.5]`, "family_info.exposure_caps[1]"},
+		{"two negative caps", `"api_timeout_ms":800.0`, `"exposure_caps":[-0.1,-0.5]`, "family_info.exposure_caps[0]"},
 		{"a router beyond the last", `"me":1`, `"me":2`, "me is 2 of 2"},
 		{"a keyed class of no group", `"repeat":"safe"`, `"repeat":"keyed"`, "group"},
 		{"no listen", `"listen"`, `"other"`, "LB_LISTEN"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -66,7 +65,9 @@
 	for i, x := range r.GetArray(path...) {
 		each := reader{Value: x, where: fmt.Sprintf("%s%s[%d]", r.where, strings.Join(path, "."), i)}
 		out = append(out, each.number())
-		r.err = errors.Join(r.err, each.err)
+		if r.err == nil {
+			r.err = each.err
+		}
 	}
 	return out
 }
