--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -129,6 +129,9 @@
 	var st *state
 	err = guarded(func() error {
 		return db.View(func(tx *bolt.Tx) error {
+			if err := whole(path, tx); err != nil {
+				return err
+			}
 			var err error
 			st, err = read(tx, o)
 			return err
@@ -153,6 +156,19 @@
 	return db, st, nil
 }
 
+// whole checks that the file holds all pages that its newest head counts. Danger: the store reads what lies behind the cut,
+// in the page that was cut, as zeros; a bucket that stands there is one without records, and would pass for a new ledger.
+func whole(path string, tx *bolt.Tx) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	if info.Size() < tx.Size() {
+		return fmt.Errorf("%w: the file was cut: %d bytes of %d", errBroken, info.Size(), tx.Size())
+	}
+	return nil
+}
+
 // guarded reads what may be torn. Danger: the store maps the file; a page behind the end of a file that was cut is a
 // fault, and pages of noise make it panic.
 func guarded(do func() error) (err error) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -297,6 +297,47 @@
 	}
 }
 
+// A file that was cut never passes for a shorter ledger, or for a new one: the store reads what lies behind the cut in its
+// page as zeros, among them the head of a bucket that is small enough to stand within another page.
+func TestCutFileIsNoNewLedger(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "l")
+	if err := open(t, path, options()).Close(); err != nil { // one record: the smallest bucket
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	used := len(bytes.TrimRight(whole, "\x00")) // what lies behind holds nothing
+	dir, passed := t.TempDir(), 0
+	for n := 16; n < len(whole); n += 16 {
+		cut := filepath.Join(dir, strconv.Itoa(n)) // the store leaves its lock behind where an opening fails
+		if err := os.WriteFile(cut, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		entries, err := Verify(cut, options())
+		if err == nil {
+			passed++
+		}
+		if err == nil && (entries != 1 || n < used) {
+			t.Errorf("cut at %d of %d, of which %d are used: %d entries", n, len(whole), used, entries)
+		}
+		if page := os.Getpagesize(); n < used/page*page {
+			continue
+		}
+		l, err := Open(cut, options())
+		if err == nil {
+			err = l.Close()
+		}
+		if n < used && !errors.Is(err, errBroken) {
+			t.Errorf("cut at %d of %d, of which %d are used: opened, %v", n, len(whole), used, err)
+		}
+	}
+	if passed == 0 {
+		t.Error("no cut behind all that is used passed")
+	}
+}
+
 func TestNewerVersion(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "l")
 	if err := open(t, path, options()).Close(); err != nil {
