--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -72,8 +72,8 @@
 	var pass *accord.Pass
 	if p.Gate != nil {
 		var refused error
-		name, born := p.life(h)
-		if pass, refused = p.Gate.Begin(name, born, planned, c.giveUp); refused != nil {
+		as := p.listed(h)
+		if pass, refused = p.Gate.Begin(as.Name, as.Born, planned, c.giveUp); refused != nil {
 			p.give(h, c)
 			return gateway.Result{Outcome: logic.NotSent, Held: errors.Is(refused, accord.ErrNoLease)}
 		}
--- /dev/null
+++ b/internal/servers/dial_test.go
@@ -0,0 +1,115 @@
+package servers
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"merlinarch/internal/exchange"
+	"merlinarch/internal/gateway"
+	"merlinarch/internal/testwait"
+	"merlinarch/logic"
+)
+
+// fullBacklog listens with room for one connection, which is taken: the kernel drops whoever asks for another, and the
+// asker's kernel asks again some time later. Connections come up once the first one has been accepted.
+func fullBacklog(t *testing.T) (l net.Listener, first net.Conn) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = net.FileListener(f); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	if first, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { first.Close() })
+	return l, first
+}
+
+// What changes while a dial is held: the attempt is given up as it comes up, the host gets no byte of it, and it never
+// passes for one that may have run.
+func TestDialComesUpLate(t *testing.T) {
+	with := func(change func(h *gateway.Host)) func(*Pool, gateway.Host, *exchange.Exchange) {
+		return func(p *Pool, h gateway.Host, _ *exchange.Exchange) {
+			change(&h)
+			p.Listed(false, []gateway.Host{h})
+		}
+	}
+	cases := []struct {
+		name   string
+		change func(p *Pool, h gateway.Host, ex *exchange.Exchange) // while the dial is held
+		want   logic.Outcome
+	}{
+		{"nothing", func(*Pool, gateway.Host, *exchange.Exchange) {}, logic.OK},
+		{"its host drains, within the grace", with(func(h *gateway.Host) { h.State = logic.Draining }), logic.OK},
+		{"its host drains, beyond the grace", with(func(h *gateway.Host) { h.State = logic.Draining }), logic.NotSent},
+		{"its host is taken off the list", with(func(h *gateway.Host) { h.State = logic.Gone }), logic.NotSent},
+		{"the address is another build's", with(func(h *gateway.Host) { h.Build = 8 }), logic.NotSent},
+		{"the host has started anew", with(func(h *gateway.Host) { h.Started = time.Second }), logic.NotSent},
+		{"the cap falls", func(p *Pool, h gateway.Host, _ *exchange.Exchange) { p.Recall(h.Build) }, logic.NotSent},
+		{"its client leaves", func(_ *Pool, _ gateway.Host, ex *exchange.Exchange) { ex.Leave() }, logic.NotSent},
+		{"the request ends", func(_ *Pool, _ gateway.Host, ex *exchange.Exchange) { ex.Finish(exchange.Answer{}) }, logic.NotSent},
+		{"the window for repeats is over", nil, logic.NotSent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel() // each waits for the kernel to ask again, a second or so
+			l, first := fullBacklog(t)
+			host := gateway.Host{Addr: l.Addr().String(), Server: logic.Server{ID: 1, Build: 7}}
+			limits := testLimits()
+			if strings.Contains(c.name, "beyond the grace") {
+				limits.SendGrace = 0
+			}
+			p, _ := newPool(t, limits, host)
+			ex := exchange.New(exchange.Message{Method: "GET", Target: "/api", ID: "x"}, exchange.Fields{}, time.Now().Add(patience))
+			a := gateway.Attempt{Exchange: ex}
+			if c.change == nil {
+				a.LeaveBy = time.Now().Add(100 * time.Millisecond) // sooner than the kernel asks again
+			}
+			results, cancel := begin(p, a)
+			defer cancel()
+			testwait.Until(t, "the dial to begin", func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return p.open == 1
+			})
+			if c.change != nil {
+				c.change(p, host, ex)
+			}
+			var ran atomic.Int64
+			s := standInAt(t, l, func(_ int, c net.Conn, r *bufio.Reader) {
+				if answer(c, r, fine) != nil {
+					ran.Add(1)
+				}
+			})
+			r := testwait.Value(t, "a result", results)
+			testwait.Until(t, "both connections", func() bool { return s.accepted() == 2 })
+			if r.Outcome != c.want {
+				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
+			}
+			first.Close()
+			p.Close() // what was written has been read by the time that the host sees the end
+			s.end()
+			if n := ran.Load(); n != map[bool]int64{true: 1}[c.want == logic.OK] {
+				t.Errorf("%d requests at the host", n)
+			}
+		})
+	}
+}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -176,11 +176,11 @@
 	return h.replaced || drained || recalled || !a.LeaveBy.IsZero() && now.After(a.LeaveBy)
 }
 
-// life tells which life of which server a host is.
-func (p *Pool) life(h *host) (name string, born int64) {
+// listed is how the list has a host now. Danger: the list may change while an attempt is on its way.
+func (p *Pool) listed(h *host) gateway.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return h.Name, h.Born
+	return h.Host
 }
 
 // lookup finds a host.
@@ -268,7 +268,7 @@
 		return nil, errNoDescriptor
 	}
 	dialer := net.Dialer{Timeout: p.limits.DialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", h.Addr)
+	raw, err := dialer.DialContext(ctx, "tcp", p.listed(h).Addr)
 	if err != nil {
 		p.unreserve()
 		p.count.Inc("connections.failed")
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -49,6 +49,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return standInAt(t, l, serve)
+}
+
+// standInAt starts a host that takes its connections from l.
+func standInAt(t *testing.T, l net.Listener, serve func(n int, c net.Conn, r *bufio.Reader)) *standIn {
 	s := &standIn{t: t, l: l}
 	s.work.Go(func() {
 		for {
@@ -75,6 +80,12 @@
 	return s
 }
 
+// end waits until a host has read all that came on its connections; their other sides have closed.
+func (s *standIn) end() {
+	s.l.Close()
+	s.work.Wait()
+}
+
 func (s *standIn) accepted() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
