--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -150,7 +150,7 @@
 		go func() {
 			defer c.release()
 			if c.Conn.SetReadDeadline(time.Now().Add(c.all.limits.Linger)) == nil {
-				io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes)) // its end, or the bounds
+				io.Copy(io.Discard, io.LimitReader(c.Conn, c.all.limits.LingerBytes)) // its end, or the bounds
 			}
 		}()
 		return nil
@@ -158,9 +158,6 @@
 	return c.release()
 }
 
-// lingerBytes is how much is read behind a last answer.
-const lingerBytes = 256 << 10
-
 // release frees the descriptor.
 func (c *conn) release() error {
 	err := c.Conn.Close()
@@ -333,12 +330,9 @@
 func (l *listener) finish(d time.Duration) {
 	until := time.Now().Add(d)
 	l.until.Store(&until)
-	l.wakeBy(time.Now().Add(backlogEmpty))
+	l.wakeBy(time.Now().Add(l.conns.limits.BacklogEmpty))
 }
 
-// backlogEmpty is for how long nothing has to come for the backlog to count as empty: what stands there comes at once.
-const backlogEmpty = 5 * time.Millisecond
-
 // wakeBy has Accept return by a time.
 func (l *listener) wakeBy(t time.Time) {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(t) != nil {
@@ -365,7 +359,7 @@
 	l.conns.owe(0)
 	for !l.over() {
 		if l.until.Load() != nil {
-			l.wakeBy(time.Now().Add(backlogEmpty))
+			l.wakeBy(time.Now().Add(l.conns.limits.BacklogEmpty))
 		}
 		nc, err := l.Listener.Accept()
 		switch {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -59,6 +59,8 @@
 	DrainKill    time.Duration // after SIGTERM: when the process may be ended, whatever it does
 	LeftEvery    time.Duration // pauses between looks for the end of a connection that has more bytes before it
 	Linger       time.Duration // behind a last answer, for its client to close too; zero: the connection closes at once
+	LingerBytes  int64         // bytes read meanwhile at the most
+	BacklogEmpty time.Duration // while accepting ends: the backlog is empty once it has brought nothing for so long
 }
 
 // Told is what the deployment says this node may use.
@@ -108,7 +110,7 @@
 		DrainTaking: 450 * time.Millisecond, DrainClosing: 600 * time.Millisecond,
 		DrainLast: max(longest, 3*time.Second) + 50*time.Millisecond,
 		DrainKill: min(longest, 3*time.Second) + 700*time.Millisecond,
-		LeftEvery: 50 * time.Millisecond, Linger: 500 * time.Millisecond,
+		LeftEvery: 50 * time.Millisecond, Linger: 500 * time.Millisecond, LingerBytes: 256 << 10, BacklogEmpty: 5 * time.Millisecond,
 	}
 	l.OwedAtOnce = 8
 	l.WantedSpare, l.MaxPerServer = l.ClientConns/8, max(2, l.ServerConns/4)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,11 +58,49 @@
 	return int(min(r.number(path...), most))
 }
 
-func (r *reader) text(path ...string) string { return string(r.GetStringBytes(path...)) }
+// of is a value of one kind; nil for one that is absent or null, or of another kind, which is kept as the error. Danger: a
+// word in the place of a truth value, read as false, would switch off a rule that the deployment has.
+func (r *reader) of(kind string, is func(fastjson.Type) bool, path []string) *fastjson.Value {
+	v := r.Get(path...)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	if !is(v.Type()) {
+		if r.err == nil {
+			r.err = fmt.Errorf("%s%s: %.40s is no %s", r.where, strings.Join(path, "."), v, kind)
+		}
+		return nil
+	}
+	return v
+}
+
+// text is a string; one that is absent or null is empty.
+func (r *reader) text(path ...string) string {
+	v := r.of("text", func(t fastjson.Type) bool { return t == fastjson.TypeString }, path)
+	if v == nil {
+		return ""
+	}
+	return string(v.GetStringBytes())
+}
+
+// flag is a truth value; one that is absent or null is false.
+func (r *reader) flag(path ...string) bool {
+	v := r.of("truth value", func(t fastjson.Type) bool { return t == fastjson.TypeTrue || t == fastjson.TypeFalse }, path)
+	return v != nil && v.Type() == fastjson.TypeTrue
+}
+
+// array is a list of values; one that is absent or null is empty.
+func (r *reader) array(path ...string) []*fastjson.Value {
+	v := r.of("list", func(t fastjson.Type) bool { return t == fastjson.TypeArray }, path)
+	if v == nil {
+		return nil
+	}
+	return v.GetArray()
+}
 
 func (r *reader) numbers(path ...string) []float64 {
 	var out []float64
-	for i, x := range r.GetArray(path...) {
+	for i, x := range r.array(path...) {
 		each := reader{Value: x, where: fmt.Sprintf("%s%s[%d]", r.where, strings.Join(path, "."), i)}
 		out = append(out, each.number())
 		if r.err == nil {
@@ -74,15 +112,15 @@
 
 // Decode reads the start-up settings; unknown keys are skipped, and what is absent is zero, but for what a router could
 // not work with: of a class's aim and deadline one stands for the other, and there are at least as many routers
-// as me, counted from 0, tells. A time of over 100 days counts as that.
+// as me, counted from 0, tells. A time of over 100 days counts as that. A value of another kind than its own is an error.
 func Decode(v *fastjson.Value) (logic.Settings, error) {
 	r := &reader{Value: v, where: "settings: "}
 	s := logic.Settings{
 		Self: r.count("me"), Peers: r.count("peers_total"), Zone: r.text("zone"),
 		MaxAttempts: r.count("caps", "max_attempts"), MaxOpen: r.count("caps", "max_open"),
 		MaxRetryAfter: r.ms("caps", "max_retry_after_ms"),
-		MarksRetry:    v.GetBool("client_habits", "marks_retry"), CanProbe: v.GetBool("caps", "probes"),
-		CanPost: v.GetBool("caps", "peers"), CanCancel: v.GetBool("caps", "cancel"),
+		MarksRetry:    r.flag("client_habits", "marks_retry"), CanProbe: r.flag("caps", "probes"),
+		CanPost: r.flag("caps", "peers"), CanCancel: r.flag("caps", "cancel"),
 		AskDiscovery: r.text("registry_mode") == "subscribe", AskWithin: r.ms("rules", "ask_within_ms"),
 		Tick: r.ms("tick_ms"), DrainGrace: r.ms("rules", "drain_grace_ms"), ColdFrom: r.number("rules", "cold_from"),
 		ColdTime: r.ms("rules", "cold_ms"), FallMultiple: r.number("rules", "fall_multiple"),
@@ -93,19 +131,23 @@
 			StageShare: r.numbers("family_info", "steps"), StageCap: r.numbers("family_info", "exposure_caps"),
 			Window: r.ms("family_info", "exposure_window_ms"), Free: r.number("family_info", "free"),
 			PerClass: r.text("family_info", "counts") == "per_lane", ClosedStages: r.count("family_info", "closed_stages"),
-			ForwardOnly: v.GetBool("family_info", "forward_only"), Rolling: r.text("family_info", "swap") == "rolling",
-			WarmKeys: v.GetBool("family_info", "warm_keys"), MinStage: r.ms("family_info", "least_stage_ms"),
+			ForwardOnly: r.flag("family_info", "forward_only"), Rolling: r.text("family_info", "swap") == "rolling",
+			WarmKeys: r.flag("family_info", "warm_keys"), MinStage: r.ms("family_info", "least_stage_ms"),
 			VoteTTL: r.ms("family_info", "ballot_ttl_ms"), VoteTimeout: r.ms("family_info", "api_timeout_ms"),
 			VotesPerSec: r.number("family_info", "votes_per_s"), Clocked: r.text("family_info", "decided_by") == "clocked",
 		},
 	}
 	r.ms("caps", "dial_timeout_ms") // the node's own, no decision's
+	for _, group := range []string{"caps", "rules", "client_habits", "deductions", "family_info"} {
+		r.of("object", func(t fastjson.Type) bool { return t == fastjson.TypeObject }, []string{group})
+	}
+	classes, orgs := r.array("classes"), r.array("orgs")
 	if r.err != nil {
 		return s, r.err
 	}
 	s.Peers = max(s.Peers, s.Self+1) // Danger: a router that refuses to start serves nobody
 	known := map[string]bool{}
-	for i, c := range v.GetArray("classes") {
+	for i, c := range classes {
 		class, err := decodeClass(&reader{Value: c, where: fmt.Sprintf("settings: class %d: ", i)})
 		if err != nil {
 			return s, err
@@ -116,7 +158,7 @@
 		known[class.Name] = true
 		s.Classes = append(s.Classes, class)
 	}
-	for i, o := range v.GetArray("orgs") {
+	for i, o := range orgs {
 		t := &reader{Value: o, where: fmt.Sprintf("settings: org %d: ", i)}
 		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.text("name"), Quota: t.number("quota_rps"), Share: t.number("share")})
 		if t.err != nil {
@@ -128,12 +170,14 @@
 
 // decodeClass reads a class.
 func decodeClass(c *reader) (logic.Class, error) {
-	name := c.text("repeat")
+	name, group := c.text("repeat"), c.text("group")
+	if c.err != nil {
+		return logic.Class{}, c.err
+	}
 	repeat, ok := repeats[name]
 	if !ok {
 		return logic.Class{}, fmt.Errorf("%sunknown repeat %q", c.where, name)
 	}
-	group := c.text("group")
 	scope, ok := scopes[group]
 	if !ok && repeat == logic.Keyed {
 		return logic.Class{}, fmt.Errorf("%sunknown group %q", c.where, group)
