--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -23,6 +23,7 @@
 	SentAt time.Duration // the latest attempt's, on the module's clock
 
 	LeaveBy time.Duration // the latest time at which the latest attempt may go out, on the module's clock; zero: any
+	Forward bool          // once the latest attempt has left, none of its key to an earlier build that was decided before may leave
 
 	attempts  int
 	out, gone bool
@@ -130,7 +131,7 @@
 			d.effects.Stray(a)
 			return
 		}
-		c.attempts, c.SentAt, c.LeaveBy, c.Server, c.out = c.attempts+1, now, a.LeaveBy, a.Server, true
+		c.attempts, c.SentAt, c.LeaveBy, c.Forward, c.Server, c.out = c.attempts+1, now, a.LeaveBy, a.Forward, a.Server, true
 		d.effects.Start(c, a.Timeout)
 	case logic.Cancel:
 		c := d.calls[a.ID]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	Decided  time.Time // when the module asked for it
 	Deadline time.Time // when the wait for its outcome ends
 	LeaveBy  time.Time // the latest time at which its first byte may go out; zero: any
+	Forward  bool      // once it has left, none of its key to an earlier build that was decided before may leave
 	// Report is called exactly once, with how it ended, never from Start itself.
 	Report func(Result)
 }
@@ -372,7 +373,7 @@
 		leaveBy = g.clock.Time(c.LeaveBy)
 	}
 	g.count.Inc("attempts.sent")
-	c.Of.cancel = g.parts.Servers.Start(Attempt{Exchange: c.Of.ex, Server: c.Server, Decided: now, Deadline: deadline, LeaveBy: leaveBy,
+	c.Of.cancel = g.parts.Servers.Start(Attempt{Exchange: c.Of.ex, Server: c.Server, Decided: now, Deadline: deadline, LeaveBy: leaveBy, Forward: c.Forward,
 		Report: func(r Result) { g.notify(attempted{id, n, r}) }})
 }
 
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -37,7 +37,7 @@
 		return failed
 	}
 	// Danger: the request may have ended, its client left, or the host begun to drain, while the connection was made.
-	if a.Exchange.Ended() || a.Exchange.Left() || ctx.Err() != nil || p.late(h, a) {
+	if a.Exchange.Ended() || a.Exchange.Left() || ctx.Err() != nil || !p.leaves(h, a) {
 		p.count.Inc("attempts.given_up_unsent")
 		p.give(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -40,13 +40,20 @@
 	hosts    map[logic.ServerID]*host
 	open     int // connections that stand or are being made
 	recalled map[logic.BuildID]time.Time
+	left     map[uint64]left // by key, of attempts that are Forward
+}
+
+// left is the newest build to which an attempt for a key has left, and when.
+type left struct {
+	build logic.BuildID
+	at    time.Time
 }
 
 // New makes a pool; Close ends all that it has begun.
 func New(limits config.Limits, count *metrics.Registry) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pool{limits: limits, count: count, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
-		recalled: map[logic.BuildID]time.Time{}, room: &room{left: limits.AnswerRoom}}
+		recalled: map[logic.BuildID]time.Time{}, left: map[uint64]left{}, room: &room{left: limits.AnswerRoom}}
 	p.work.Go(p.retire)
 	return p
 }
@@ -163,16 +170,31 @@
 	p.recalled[build] = now
 }
 
-// late tells that a send must not leave any more. Danger: a dial, or a stall of the machine, may hold a send until a
-// drain's grace has passed, a lower cap binds (that comes sooner than a dial takes), or its servers no longer drop a
-// repeat; it is given up then, never sent late.
-func (p *Pool) late(h *host, a gateway.Attempt) bool {
+// leaves tells that a send may leave now, and notes it: what leaves is seen by all that come after it.
+func (p *Pool) leaves(h *host, a gateway.Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.late(h, a) {
+		return false
+	}
+	if key := a.Exchange.Fields.Key; a.Forward && p.left[key].build <= h.Build {
+		p.left[key] = left{h.Build, time.Now()}
+	}
+	return true
+}
+
+// late tells that a send must not leave any more; the lock is held. Danger: a dial, or a stall of the machine, may hold a
+// send until a drain's grace has passed, a lower cap binds (that comes sooner than a dial takes), its servers no longer
+// drop a repeat, or a later build may have answered its key; it is given up then, never sent late.
+func (p *Pool) late(h *host, a gateway.Attempt) bool {
 	now := time.Now()
 	drained := !h.drained.IsZero() && now.After(h.drained.Add(p.limits.SendGrace))
 	at, ok := p.recalled[h.Build]
 	recalled := ok && a.Decided.Before(at)
+	if a.Forward { // what is decided later is the module's: the later build may go back by then
+		newer := p.left[a.Exchange.Fields.Key]
+		recalled = recalled || h.Build < newer.build && a.Decided.Before(newer.at)
+	}
 	return h.replaced || drained || recalled || !a.LeaveBy.IsZero() && now.After(a.LeaveBy)
 }
 
@@ -291,6 +313,9 @@
 		case <-tick.C:
 		}
 		p.mu.Lock()
+		maps.DeleteFunc(p.left, func(_ uint64, l left) bool {
+			return time.Since(l.at) > p.limits.MaxWait // what was decided before has ended
+		})
 		for _, h := range p.hosts {
 			h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
 				old := time.Since(c.usedAt) >= p.limits.ServerIdle
--- a/logic/api.go
+++ b/logic/api.go
@@ -264,12 +264,15 @@
 // Actions.
 type (
 	// Send starts an attempt; a zero Timeout means until the client gives up. LeaveBy is the latest time at which its
-	// first byte may go out, where a repeat is cheap for a while only; zero: any.
+	// first byte may go out, where a repeat is cheap for a while only; zero: any. Forward is set where a key may not go back
+	// to an earlier build: once this attempt has left, none for the same key that was decided before it, and for an earlier
+	// build, may leave any more.
 	Send struct {
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration
 		LeaveBy time.Duration
+		Forward bool
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,6 @@
 // This file holds every decision of the router, its tables and its tuned values. Read api.go first: the
 // settings, events and actions are there. report.go is only the codec of the messages between routers;
 // what is kept between events is laid out in state.go. Neither decides anything.
-//
 // Order: tuned values; the router and its events; servers (list, health, cold ramp); builds and exposure;
 // choice of a server; the life of a request; overload; evidence; the test; votes.
 package logic
@@ -475,12 +474,13 @@
 	return nil
 }
 
-// pinnedTo is the lowest build that may serve the request's key (forward-only).
+// pinnedTo is the lowest build that may serve the request's key (forward-only). Danger: what is out at a
+// build may be answered before an attempt that leaves now arrives at an earlier one.
 func (r *Router) pinnedTo(q *request) BuildID {
 	if !r.s.Rollout.ForwardOnly || !q.HasKey {
 		return 0
 	}
-	return r.sticky[q.Key] * BuildID(count(!r.bad[r.sticky[q.Key]]))
+	return max(r.sticky[q.Key]*BuildID(count(!r.bad[r.sticky[q.Key]])), r.asked(q.Key))
 }
 
 // ---- The life of a request ----
@@ -554,7 +554,7 @@
 	q.attempts++
 	s.inFlight++
 	r.inFlight++
-	r.do(Send{ID: q.ID, Server: s.ID, LeaveBy: q.repeatBy()})
+	r.do(Send{ID: q.ID, Server: s.ID, LeaveBy: q.repeatBy(), Forward: r.s.Rollout.ForwardOnly && q.HasKey})
 	return true
 }
 
@@ -729,7 +729,7 @@
 		if !q.ended && (late || room < 0) {
 			r.finish(q)
 		}
-		stuck := &q.class.stuck[count(q.draw)+2*count(q.luck < r.gate)]
+		stuck := &q.class.stuck[count(q.draw)+2*count(q.luck < r.gate)+4*count(r.sticky[q.Key] == r.trialID)]
 		if q.ended || (q.attempts > 0 || *stuck != r.pass) && r.try(q) {
 			return true
 		}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -431,6 +431,105 @@
 	}
 }
 
+// The host is told which sends for a key void earlier ones: those of keys that may not go back, and no others.
+func TestSendsOfBoundKeysAreForward(t *testing.T) {
+	for _, forwardOnly := range []bool{true, false} {
+		for _, hasKey := range []bool{true, false} {
+			set := testSettings()
+			set.Rollout.ForwardOnly = forwardOnly
+			sends := ready(t, set, host(1)).feed(RequestArrived{ID: "r", Class: "read", Key: 5, HasKey: hasKey, Left: time.Second})
+			if len(sends) != 1 || sends[0].Forward != (forwardOnly && hasKey) {
+				t.Errorf("forward-only %v, key %v: %+v", forwardOnly, hasKey, sends)
+			}
+		}
+	}
+}
+
+// Danger: while an attempt for a key is out at the build on trial, its answer may come before another's bytes arrive at an
+// earlier one. So that one goes to the build on trial too, or waits; as soon as there was no answer, or the build goes
+// back, it goes where any may. It holds up nobody else.
+func TestKeysOutAtALaterBuild(t *testing.T) {
+	set := testSettings()
+	set.Rollout.ForwardOnly, set.Rollout.Free, set.CanCancel = true, 1, false
+	begin := func() (*rig, Send) {
+		g := newRig(t, set, 9)
+		g.list(host(1), host(2), host(3, build(2)), host(4, build(2)))
+		g.release(2, 1, OnTrial, 0.1)
+		for i := range 1000 { // a key that is out at the build on trial, which has no budget left for another
+			for _, s := range g.feed(RequestArrived{ID: RequestID(fmt.Sprint("r", i)), Class: "read", Key: uint64(i), HasKey: true, Left: 4 * time.Second}) {
+				if s.Server >= 3 {
+					if g.r.mayTry(2, g.r.classes["read"], false) {
+						g.end(s, Reset)
+						continue
+					}
+					return g, s
+				}
+				g.end(s, OK)
+			}
+			g.pass(10 * ms)
+		}
+		t.Fatal("the build on trial was never tried")
+		return nil, Send{}
+	}
+	ask := func(g *rig, id string, key uint64) []Send {
+		return g.feed(RequestArrived{ID: RequestID(id), Class: "read", Key: key, HasKey: true, Left: 4 * time.Second})
+	}
+	at := func(sends []Send, id string, earlier bool) bool {
+		return slices.ContainsFunc(sends, func(s Send) bool { return s.ID == RequestID(id) && (s.Server < 3) == earlier })
+	}
+	for name, end := range map[string]func(g *rig, s Send) []Send{
+		"it was reset":   func(g *rig, s Send) []Send { return g.end(s, Reset) },
+		"its host erred": func(g *rig, s Send) []Send { return g.end(s, ServerError) },
+		"the build goes back": func(g *rig, _ Send) []Send {
+			before := len(g.sends)
+			g.release(2, 1, GoingBack, 0)
+			return g.sends[before:]
+		},
+	} {
+		g, out := begin()
+		key := g.r.reqs[out.ID].Key
+		if sends := ask(g, "same", key); at(sends, "same", true) {
+			t.Fatalf("%s: sent to the earlier build while it was out: %v", name, sends)
+		}
+		if sends := ask(g, "other", 10000); len(sends) != 1 {
+			t.Errorf("%s: another key is held up: %v", name, sends)
+		}
+		if sends := end(g, out); !at(sends, "same", true) {
+			t.Errorf("%s: not sent to the earlier build then: %v", name, sends)
+		}
+	}
+	g, out := begin()
+	ask(g, "same", g.r.reqs[out.ID].Key)
+	if sends := append(g.end(out, OK), g.pass(100*ms)...); at(sends, "same", true) {
+		t.Errorf("answered: sent to the earlier build: %v", sends)
+	}
+}
+
+// Danger: of those that wait, one that may only go to the build on trial stands for none that may go to any.
+func TestBoundKeysThatWaitHoldUpNobody(t *testing.T) {
+	set := testSettings()
+	set.Rollout.ForwardOnly = true
+	g := newRig(t, set, 9)
+	g.list(host(1), host(3, build(2)))
+	g.release(2, 1, OnTrial, 0.01)
+	g.r.sticky[5] = 2
+	b := g.r.budget(2, g.r.classes["read"])
+	for i := range b.slots { // its budget is used up
+		b.slots[i] = g.now
+	}
+	g.r.limit = 0 // all wait
+	g.feed(RequestArrived{ID: "bound", Class: "read", Key: 5, HasKey: true, Left: 4 * time.Second})
+	g.now += ms // else the later one would stand before it
+	g.feed(RequestArrived{ID: "free", Class: "read", Key: 6, HasKey: true, Left: 4 * time.Second})
+	if len(g.r.waiting) != 2 {
+		t.Fatalf("%d wait", len(g.r.waiting))
+	}
+	g.r.limit = 10
+	if sends := g.pass(60 * ms); len(sends) != 1 || sends[0].ID != "free" || sends[0].Server != 1 {
+		t.Errorf("what may go anywhere waits behind what may not: %v", sends)
+	}
+}
+
 // Danger: a stale list names servers that have long gone. Requests must neither storm at them nor go unserved
 // while the build on trial may take them.
 func TestStaleListFallsToTheBuildOnTrial(t *testing.T) {
