--- a/cmd/merlinarch/standing_test.go
+++ b/cmd/merlinarch/standing_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -318,3 +319,175 @@
 		}
 	}
 }
+
+// Nine in ten of the processes that are restarted at once, some killed and some told to end, are ready within 10 s, and all
+// within 30 s, with discovery there but silent: each serves from what its configuration knows.
+func TestRestartedTogetherAreReadyInTime(t *testing.T) {
+	t.Parallel()
+	const routers = 20
+	host := newArrivals(t, 0)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // the kernel takes connections; nobody answers on them
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	ready := func(listen string) func() bool {
+		return func() bool {
+			status, _, err := get(listen, "/-/ready", "r")
+			return err == nil && status == 200
+		}
+	}
+	var listens [routers]string
+	var processes [routers]*exec.Cmd
+	boot := func(i int) {
+		processes[i] = start(t, listing(listens[i], silent.Addr().String(), entry("s-1", host.addr(), "up"), entry("s-2", host.addr(), "up")))
+	}
+	for i := range routers {
+		listens[i] = freeAddr(t)
+		boot(i)
+	}
+	for _, listen := range listens {
+		testwait.Until(t, "the routers to get ready at first", ready(listen))
+	}
+	for i, p := range processes {
+		if err := p.Process.Signal([]os.Signal{syscall.SIGKILL, syscall.SIGTERM}[i%2]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range processes {
+		p.Wait()
+	}
+	began := time.Now()
+	for i := range routers {
+		boot(i)
+	}
+	var took [routers]time.Duration
+	var work sync.WaitGroup
+	for i, listen := range listens {
+		work.Go(func() {
+			for is := ready(listen); !is() && time.Since(began) < 31*time.Second; {
+				time.Sleep(5 * time.Millisecond)
+			}
+			took[i] = time.Since(began)
+		})
+	}
+	work.Wait()
+	slices.Sort(took[:])
+	if late := took[routers*9/10-1]; late > 10*time.Second || took[routers-1] > 30*time.Second {
+		t.Errorf("nine in ten ready after %v, the last after %v", late, took[routers-1])
+	}
+	for i, listen := range listens {
+		if status, body, err := get(listen, "/api", fmt.Sprint("after", i)); status != 200 || body != "notice" {
+			t.Errorf("router %d serves %d %q %v once it is ready", i, status, body, err)
+		}
+	}
+}
+
+// A client that closes its connection has gone: what still waits for its first attempt 0.3 s later is sent nowhere, also
+// where more bytes stand behind the request. Those that stay are served.
+func TestNothingIsSentForClientsThatHaveGone(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	got := map[string]bool{}
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		got[r.Header.Get("X-Txn")] = true
+		mu.Unlock()
+		io.WriteString(w, "notice")
+	}))
+	defer host.Close()
+	addr := strings.TrimPrefix(host.URL, "http://")
+	up := make(chan struct{})
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "{\"seq\":2,\"whole\":true,\"hosts\":[%s]}\n", entry("s-1", addr, "draining"))
+		http.NewResponseController(w).Flush()
+		select {
+		case <-up:
+			fmt.Fprintf(w, "{\"seq\":3,\"whole\":false,\"hosts\":[%s]}\n", entry("s-1", addr, "up"))
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	}))
+	defer agent.Close()
+	defer agent.CloseClientConnections()
+	listen := freeAddr(t)
+	start(t, listing(listen, strings.TrimPrefix(agent.URL, "http://"), entry("s-1", addr, "draining")))
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	ask := func(id string) net.Conn {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n", id)
+		return c
+	}
+	var gone []net.Conn
+	for i := range 20 {
+		gone = append(gone, ask(fmt.Sprint("gone", i)))
+	}
+	stays := ask("stays")
+	defer stays.Close()
+	time.Sleep(100 * time.Millisecond) // what has not been read by now comes together with what stands behind it, or the close
+	for i, c := range gone {
+		io.WriteString(c, []string{"", "G", "\r\n", "GET /api HT"}[i%4])
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range gone {
+		c.Close()
+	}
+	time.Sleep(300 * time.Millisecond) // the page's time
+	close(up)
+	stays.SetReadDeadline(time.Now().Add(testwait.Patience))
+	resp, err := http.ReadResponse(bufio.NewReader(stays), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("the client that stays: %+v %v", resp, err)
+	}
+	resp.Body.Close()
+	if status, _, err := get(listen, "/api", "last"); status != 200 { // what waited has left or has been given up by now
+		t.Errorf("%d %v", status, err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(got) != 2 || !got["stays"] || !got["last"] {
+		t.Errorf("the host got %v", got)
+	}
+}
+
+// For 0.4 s after SIGTERM new connections keep coming. Of those that bring a request at once, none is closed without an answer.
+func TestNewConnectionsAfterSIGTERM(t *testing.T) {
+	t.Parallel()
+	host := newArrivals(t, 0)
+	listen := freeAddr(t)
+	router := start(t, listing(listen, "127.0.0.1:1", entry("s-1", host.addr(), "up"), entry("s-2", host.addr(), "up")))
+	testwait.Until(t, "the router to get ready", func() bool {
+		status, _, err := get(listen, "/-/ready", "r")
+		return err == nil && status == 200
+	})
+	if err := router.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	var work sync.WaitGroup
+	var taken, unanswered atomic.Int64
+	for began := time.Now(); time.Since(began) < 400*time.Millisecond; time.Sleep(2 * time.Millisecond) {
+		work.Go(func() {
+			c, err := net.Dial("tcp", listen)
+			if err != nil {
+				return // nothing was taken
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Txn: n%d\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n", taken.Add(1))
+			c.SetReadDeadline(time.Now().Add(testwait.Patience))
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+				unanswered.Add(1)
+			}
+		})
+	}
+	work.Wait()
+	if taken.Load() < 20 || unanswered.Load()*200 > taken.Load() {
+		t.Errorf("%d of %d new connections closed without a good answer", unanswered.Load(), taken.Load())
+	}
+}
