--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -23,7 +23,7 @@
 	SentAt time.Duration // the latest attempt's, on the module's clock
 
 	LeaveBy time.Duration // the latest time at which the latest attempt may go out, on the module's clock; zero: any
-	Forward bool          // once the latest attempt has left, none of its key to an earlier build that was decided before may leave
+	Forward bool          // of a key that goes to no earlier build any more; see logic.Send
 
 	attempts  int
 	out, gone bool
@@ -112,12 +112,19 @@
 	return c
 }
 
+// End is how an attempt ended.
+type End struct {
+	Outcome logic.Outcome
+	At      time.Duration // when that was seen, on the module's clock
+	Begun   bool          // a good answer had begun to come, though it is of no use
+	Load    *logic.Load
+}
+
 // Settled gives the module the end of an attempt; over tells that the request has ended with it. The client has
 // its answer by then: it does not wait for what the module does next.
-func (d *Driver[T]) Settled(now time.Duration, c *Call[T], o logic.Outcome, ended time.Duration, load *logic.Load,
-	over bool) {
-	d.Feed(now, logic.AttemptDone{ID: c.ID, Outcome: o, Took: ended - c.SentAt, Server: c.Server,
-		Attempt: c.attempts - 1, Final: over, Load: load})
+func (d *Driver[T]) Settled(now time.Duration, c *Call[T], e End, over bool) {
+	d.Feed(now, logic.AttemptDone{ID: c.ID, Outcome: e.Outcome, Took: e.At - c.SentAt, Server: c.Server,
+		Attempt: c.attempts - 1, Final: over, Begun: e.Begun, Load: e.Load})
 	if over {
 		delete(d.calls, c.ID)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,7 +33,7 @@
 	Decided  time.Time // when the module asked for it
 	Deadline time.Time // when the wait for its outcome ends
 	LeaveBy  time.Time // the latest time at which its first byte may go out; zero: any
-	Forward  bool      // once it has left, none of its key to an earlier build that was decided before may leave
+	Forward  bool      // of a key that goes to no earlier build any more; see logic.Send
 	// Report is called exactly once, with how it ended, never from Start itself.
 	Report func(Result)
 }
@@ -43,6 +43,7 @@
 	Outcome logic.Outcome
 	Refused bool // ConnectFailed, by a machine that is there
 	Held    bool // NotSent, since nothing may be sent now: no lease on the agreed rules stands
+	Begun   bool // not OK, but a good answer had begun to come
 	Body    []byte
 	Free    func() // gives back the room that the body takes; nil: nothing to do
 	Load    *logic.Load
@@ -339,7 +340,8 @@
 	if over {
 		delete(g.calls, ex)
 	}
-	g.driver.Settled(g.clock.Now(), c, e.result.Outcome, g.clock.At(e.result.Ended), e.result.Load, over)
+	g.driver.Settled(g.clock.Now(), c, driver.End{Outcome: e.result.Outcome, At: g.clock.At(e.result.Ended), Begun: e.result.Begun,
+		Load: e.result.Load}, over)
 }
 
 // release passes on the platform's news, narrowed by the agreed rules. Sends to a build whose share has fallen must not
--- a/internal/rehearsal/nodes.go
+++ b/internal/rehearsal/nodes.go
@@ -420,7 +420,7 @@
 		if over {
 			delete(n.tasks, k.try)
 		}
-		n.driver.Settled(now, c, o, ended, load, over)
+		n.driver.Settled(now, c, driver.End{Outcome: o, At: ended, Load: load}, over)
 	})
 }
 
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -42,7 +42,11 @@
 		p.give(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
-	return p.exchange(ctx, h, c, request(a), a.Exchange.Planned)
+	r := p.exchange(ctx, h, c, request(a), a.Exchange.Planned)
+	if r.Outcome == logic.OK || r.Begun {
+		p.answered(h, a)
+	}
+	return r
 }
 
 // connection finds a server's idle connection or makes one; without, the outcome tells why. Danger: short of
@@ -97,12 +101,12 @@
 	case err == nil:
 		return gateway.Result{Outcome: logic.OK, Body: r.body, Free: r.room.free, Load: r.load}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return gateway.Result{Outcome: logic.TimedOut}
+		return gateway.Result{Outcome: logic.TimedOut, Begun: r.good()}
 	case ctx.Err() != nil:
-		return gateway.Result{Outcome: logic.Cancelled}
+		return gateway.Result{Outcome: logic.Cancelled, Begun: r.good()}
 	}
 	p.count.Inc("answers." + reason(err))
-	return gateway.Result{Outcome: logic.Reset}
+	return gateway.Result{Outcome: logic.Reset, Begun: r.good()}
 }
 
 // reason names why an answer can't be used, for the counters.
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -111,8 +111,9 @@
 		// deadline that giving up has set ends any wait for more.
 		c.readBy(time.Now().Add(c.limits.whole))
 		r, err := readResponse(c.br, c.limits)
+		r.begun = true
 		if err != nil {
-			return response{}, err
+			return r, err
 		}
 		if err := c.readBy(time.Time{}); err != nil && r.interim() {
 			return response{}, err
--- a/internal/servers/dial_test.go
+++ b/internal/servers/dial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -91,6 +92,94 @@
 	})
 }
 
+// An attempt for an earlier build that is held by its dial while one that had left for a later build is answered, be it that
+// the answer breaks off, is given up; where that one only failed, it goes.
+func TestAnswerWhileADialIsHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   logic.Outcome
+	}{
+		"answered":         {fine, logic.NotSent},
+		"answer broke off": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", logic.NotSent},
+		"failed":           {"HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nhi", logic.OK},
+		"reset":            {"", logic.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			arrived, release := make(chan struct{}), make(chan struct{})
+			later := newStandIn(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				answer(conn, r, "")
+				close(arrived)
+				<-release
+				io.WriteString(conn, c.answer)
+				conn.Close()
+			}).host(2)
+			later.Build = 8
+			l, _ := fullBacklog(t)
+			p, _ := newPool(t, testLimits(), gateway.Host{Addr: l.Addr().String(), Server: logic.Server{ID: 1, Build: 7}}, later)
+			first, cancel := begin(p, keyed(2, 5))
+			defer cancel()
+			testwait.Value(t, "the attempt at the later build", arrived)
+			held, cancel := begin(p, keyed(1, 5))
+			defer cancel()
+			testwait.Until(t, "the dial to begin", func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return p.open == 2
+			})
+			close(release)
+			testwait.Value(t, "its end", first)
+			standInAt(t, l, func(_ int, c net.Conn, r *bufio.Reader) { answer(c, r, fine) })
+			if r := testwait.Value(t, "a result", held); r.Outcome != c.want {
+				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
+			}
+		})
+	}
+}
+
+// Of an attempt that ends without a good answer it is told whether one had begun.
+func TestBegunAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		stay  bool // until the attempt's time is over
+		want  logic.Outcome
+		begun bool
+	}{
+		"nothing":                     {"", false, logic.Reset, false},
+		"half a status line":          {"HTTP/1.1 2", false, logic.Reset, true},
+		"a status line":               {"HTTP/1.1 200 OK\r\n", false, logic.Reset, true},
+		"half a head":                 {"HTTP/1.1 200 OK\r\nContent-Le", false, logic.Reset, true},
+		"half a body":                 {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", false, logic.Reset, true},
+		"half a chunked body":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", false, logic.Reset, true},
+		"two lengths":                 {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi", false, logic.Reset, true},
+		"too long":                    {"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\nhi", false, logic.Reset, true},
+		"noise":                       {"\x00\x01\x02\r\n", false, logic.Reset, true},
+		"half a head, and time":       {"HTTP/1.1 200 OK\r\nContent-Le", true, logic.TimedOut, true},
+		"nothing, and time":           {"", true, logic.TimedOut, false},
+		"half an error":               {"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nhi", false, logic.Reset, false},
+		"a spoilt error":              {"HTTP/1.1 503 Oh\r\nContent-Length: x\r\n\r\n", false, logic.Reset, false},
+		"an interim one":              {"HTTP/1.1 100 Continue\r\n\r\n", false, logic.Reset, false},
+		"an interim one, half behind": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", false, logic.Reset, true},
+		"an error":                    {"HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nhi", false, logic.ServerError, false},
+	} {
+		h := newStandIn(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			answer(conn, r, c.text)
+			if !c.stay {
+				conn.Close()
+			}
+			r.Peek(1) // returns once the other side has closed
+		})
+		p, _ := newPool(t, testLimits(), h.host(1))
+		a := gateway.Attempt{}
+		if c.stay {
+			a.Deadline = time.Now().Add(100 * time.Millisecond)
+		}
+		if r := send(t, p, a); r.Outcome != c.want || r.Begun != c.begun {
+			t.Errorf("%s: outcome %v, begun %v", name, r.Outcome, r.Begun)
+		}
+	}
+}
+
 // What changes while a dial is held: the attempt is given up as it comes up, the host gets no byte of it, and it never
 // passes for one that may have run.
 func TestDialComesUpLate(t *testing.T) {
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -43,7 +43,7 @@
 	left     map[uint64]left // by key, of attempts that are Forward
 }
 
-// left is the newest build to which an attempt for a key has left, and when.
+// left is the newest build to which an attempt for a key has left, and when it did or was answered.
 type left struct {
 	build logic.BuildID
 	at    time.Time
@@ -177,10 +177,23 @@
 	if p.late(h, a) {
 		return false
 	}
+	p.forward(h, a)
+	return true
+}
+
+// answered notes that a host has answered an attempt, be it that its answer broke off. Danger: what was decided for the
+// key meanwhile, and is held by a dial, would leave for an earlier build.
+func (p *Pool) answered(h *host, a gateway.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forward(h, a)
+}
+
+// forward notes that what was decided for an attempt's key before now may not leave for an earlier build; the lock is held.
+func (p *Pool) forward(h *host, a gateway.Attempt) {
 	if key := a.Exchange.Fields.Key; a.Forward && p.left[key].build <= h.Build {
 		p.left[key] = left{h.Build, time.Now()}
 	}
-	return true
 }
 
 // late tells that a send must not leave any more; the lock is held. Danger: a dial, or a stall of the machine, may hold a
--- a/logic/api.go
+++ b/logic/api.go
@@ -181,6 +181,7 @@
 		Server  ServerID
 		Attempt int
 		Final   bool // the request has ended
+		Begun   bool // a good answer had begun to come, though it is of no use
 		Load    *Load
 	}
 	// ClientGone ends a request without an answer.
@@ -265,8 +266,8 @@
 type (
 	// Send starts an attempt; a zero Timeout means until the client gives up. LeaveBy is the latest time at which its
 	// first byte may go out, where a repeat is cheap for a while only; zero: any. Forward is set where a key may not go back
-	// to an earlier build: once this attempt has left, none for the same key that was decided before it, and for an earlier
-	// build, may leave any more.
+	// to an earlier build: once this attempt has left, and again once it is answered, none for the same key that was
+	// decided before, and for an earlier build, may leave any more.
 	Send struct {
 		ID      RequestID
 		Server  ServerID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,6 +1,7 @@
 // This file holds every decision of the router, its tables and its tuned values. Read api.go first: the
 // settings, events and actions are there. report.go is only the codec of the messages between routers;
 // what is kept between events is laid out in state.go. Neither decides anything.
+//
 // Order: tuned values; the router and its events; servers (list, health, cold ramp); builds and exposure;
 // choice of a server; the life of a request; overload; evidence; the test; votes.
 package logic
@@ -474,13 +475,12 @@
 	return nil
 }
 
-// pinnedTo is the lowest build that may serve the request's key (forward-only). Danger: what is out at a
-// build may be answered before an attempt that leaves now arrives at an earlier one.
+// pinnedTo is the lowest build that may serve the request's key (forward-only).
 func (r *Router) pinnedTo(q *request) BuildID {
 	if !r.s.Rollout.ForwardOnly || !q.HasKey {
 		return 0
 	}
-	return max(r.sticky[q.Key]*BuildID(count(!r.bad[r.sticky[q.Key]])), r.asked(q.Key))
+	return r.sticky[q.Key] * BuildID(count(!r.bad[r.sticky[q.Key]]))
 }
 
 // ---- The life of a request ----
@@ -585,11 +585,11 @@
 		if !q.sentTrial { // else a slow build would pass for slow connecting
 			blend(&r.slowness[count(q.connects)], symptomStep, e.Took.Seconds()/q.class.Aim.Seconds())
 		}
-		if q.HasKey && r.s.Rollout.ForwardOnly {
-			r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
-		}
 		blend(&q.class.took, 0.05, e.Took.Seconds())
 	}
+	if q.HasKey && r.s.Rollout.ForwardOnly && (e.Outcome == OK || e.Begun) {
+		r.sticky[q.Key] = max(r.sticky[q.Key], q.to.Build)
+	}
 	if e.Outcome.MayHaveRun() && !q.mayRan {
 		q.mayRan, q.ranAt, q.ranOn = true, q.sentAt, q.to
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -370,16 +370,6 @@
 	return slices.ContainsFunc(r.base.all, func(s *server) bool { return s.shun > r.now })
 }
 
-// asked is the newest build at which an attempt for a key is out, of those that don't go back.
-func (r *Router) asked(key uint64) (newest BuildID) {
-	for _, q := range r.reqs {
-		if q.out && q.HasKey && q.Key == key && !r.bad[q.to.Build] {
-			newest = max(newest, q.to.Build)
-		}
-	}
-	return newest
-}
-
 // forgetBuilds drops what is kept of builds that can't matter any more. Danger: builds follow one another for as
 // long as the router runs, and peers restart; each would leave something behind.
 func (r *Router) forgetBuilds() {
