--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -183,6 +183,44 @@
 	}
 }
 
+// That a good answer had begun to come reaches the module: its key goes to no earlier build any more.
+func TestBegunAnswersReachTheModule(t *testing.T) {
+	s := testSettings
+	s.Rollout, s.MaxAttempts = logic.Rollout{ForwardOnly: true, Free: 100, Window: patience}, 1
+	g := New(logic.New(s, 1), config.Limits{MaxEvents: 64}, NewClock(), metrics.New(), zap.NewNop())
+	f := &fleet{arrived: make(chan Attempt, 64)}
+	ctx, stop := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	work.Go(func() { g.Run(ctx, Parts{Servers: f, Platform: sink{}, Peers: sink{}}) })
+	defer work.Wait()
+	defer stop()
+	ask := func(key uint64) Attempt {
+		ex := exchange.New(exchange.Message{}, exchange.Fields{Class: "read", Key: key, HasKey: true}, time.Now().Add(patience))
+		if err := g.Submit(ex); err != nil {
+			t.Fatal(err)
+		}
+		return testwait.Value(t, "an attempt", f.arrived)
+	}
+	const keys = 8
+	var later []Host
+	for i := range keys {
+		later = append(later, Host{Server: logic.Server{ID: logic.ServerID(8 + i), Zone: "a", Build: 8, Weight: 1}})
+	}
+	g.Listed(true, later)
+	g.Released(logic.ReleaseStatus{Build: 8, Phase: logic.OnTrial, Cap: 0.1})
+	for key := range uint64(keys) {
+		first := ask(key)
+		first.Report(Result{Outcome: logic.TimedOut, Begun: true, Ended: time.Now()})
+		final(t, first.Exchange)
+	}
+	g.Listed(false, []Host{{Server: logic.Server{ID: 7, Zone: "a", Build: 7, Weight: 1}}})
+	for key := range uint64(keys) { // unbound, nine in ten would go there
+		if second := ask(key); !second.Forward || second.Server == 7 {
+			t.Errorf("key %d: sent to %d, forward %v", key, second.Server, second.Forward)
+		}
+	}
+}
+
 // A router is ready once it knows servers and the state of the newest build, whichever comes first.
 func TestReady(t *testing.T) {
 	host := []Host{{Server: logic.Server{ID: 1, Zone: "a", Build: 7, Weight: 1}}}
