--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -254,6 +255,72 @@
 	}
 }
 
+// Danger: what each router sends a cold server keeps to its budget as it is decided, but connecting may take up to its
+// time-out, and what was decided meanwhile may all come up at once. Here each send comes at the worst moment that it may,
+// while the other servers fail and all routers turn to one that has just started.
+func TestHeldConnectionsAtAColdServerComeWithinItsBudget(t *testing.T) {
+	const fleet, rate, routers = 8, 40.0, 20 // requests a second at each router
+	const dial = time.Second                 // the time-out
+	type span struct{ from, until time.Duration }
+	var sends []span
+	set := testSettings()
+	set.Peers = routers
+	servers := make([]Server, fleet)
+	for i := range servers {
+		servers[i] = host(i + 1)
+	}
+	var rigs []*rig
+	for i := range routers {
+		set.Self = i
+		g := newRig(t, set, uint64(i))
+		g.list(servers...)
+		g.release(1, 2, Released, 1)
+		rigs = append(rigs, g)
+	}
+	begun := time.Duration(0)
+	for step := range 520 {
+		for i, g := range rigs {
+			if step == 400 {
+				begun = g.now
+				g.feed(ServersListed{Servers: []Server{host(1, started(g.now))}})
+				for id, s := range g.r.servers {
+					if id != 1 {
+						s.until = g.now + time.Hour // suspect
+					}
+				}
+			}
+			for _, s := range g.arrive(fmt.Sprint("r", i, step), "read", time.Second) {
+				if s.Server == 1 && begun > 0 {
+					until := g.now + dial
+					if s.LeaveBy > 0 {
+						until = min(until, s.LeaveBy)
+					}
+					sends = append(sends, span{g.now, until})
+				}
+				g.end(s, OK)
+			}
+			g.pass(time.Duration(float64(time.Second) / rate))
+		}
+	}
+	if len(sends) < 50 {
+		t.Fatalf("%d sends to the cold server", len(sends))
+	}
+	capacity := routers * rate / fleet // what each server carried is the least that it can do
+	for at := begun; at < begun+time.Second; at += 10 * ms {
+		n, allowed := 0, 0.0
+		for _, s := range sends {
+			n += int(count(s.until >= at && s.from <= at+set.FallTime))
+		}
+		for x := at; x < at+set.FallTime; x += 10 * ms {
+			share := set.ColdFrom + (1-set.ColdFrom)*float64(x-begun)/float64(set.ColdTime)
+			allowed += set.FallMultiple * capacity * share * (10 * ms).Seconds()
+		}
+		if budget := allowed + 2*math.Sqrt(allowed) + 2; float64(n) > budget {
+			t.Fatalf("%d sends may come within %v from %v after the start on, budget %.1f", n, set.FallTime, at-begun, budget)
+		}
+	}
+}
+
 // exposure replays random traffic and checks every window against the rule.
 func TestExposureInEveryWindow(t *testing.T) {
 	type event struct {
