--- a/internal/testwait/testwait.go
+++ b/internal/testwait/testwait.go
@@ -11,7 +11,7 @@
 }
 
 // Patience is far beyond what any step of a test takes.
-const Patience = 20 * time.Second
+const Patience = time.Minute
 
 // Until waits until something has become so.
 func Until(t T, what string, done func() bool) {
