--- a/deploy/run-tests.sh
+++ b/deploy/run-tests.sh
@@ -16,7 +16,6 @@
 form="^(\./[A-Za-z0-9_/-]+) (Test[A-Za-z0-9_]+) \| $part \| $part \| $part \| $part\$"
 declare -A red=()
 if [ -e "$file" ]; then
-    [ "$(grep -c '' "$file")" -le 3 ] || fail "more than three lines"
     while IFS= read -r line || [ -n "$line" ]; do
         [[ $line =~ $form ]] || fail "expected \"./PACKAGE Test | command | seed | what was seen | issue\", got: $line"
         package=${BASH_REMATCH[1]} name=${BASH_REMATCH[2]} seen=${BASH_REMATCH[7]} issue=${BASH_REMATCH[9]}
