--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -42,6 +42,15 @@
 func (d discard) Vote(logic.Vote) { d.counters.Inc("platform.votes_dropped") }
 func (d discard) Post(logic.Post) { d.counters.Inc("peers.not_sent") }
 
+// countersInterval is the time between two log lines of the counters. A process that is killed logs none at its end.
+const countersInterval = 10 * time.Second
+
+// logCounters logs the counters, with the present use of memory.
+func logCounters(counters *metrics.Registry, log *zap.Logger, why string) {
+	counters.RecordMemory()
+	counters.Log(log, why)
+}
+
 // serve runs the router until SIGTERM or SIGINT, then until all accepted requests are answered.
 func serve(c config.Config, f features.Features, log *zap.Logger) (err error) {
 	runtime.GOMAXPROCS(c.Limits.Cores)
@@ -129,6 +138,8 @@
 	log.Info("serving", zap.String("name", c.Name), zap.String("listen", c.Listen))
 
 	drained := make(chan error, 1)
+	periodic := time.NewTicker(countersInterval)
+	defer periodic.Stop()
 	for finished := false; !finished; {
 		select {
 		case err = <-served:
@@ -136,7 +147,9 @@
 				err, finished = errors.Join(err, errors.New("stopped serving")), true
 			}
 		case <-printCounters:
-			counters.Log(log, "asked for")
+			logCounters(counters, log, "asked for")
+		case <-periodic.C:
+			logCounters(counters, log, "periodic")
 		case <-reload: // also during the drain: attempts that are still sent follow the latest state of hosts and release
 			c = reloadConfig(c, watcher, platformClient, counters, log)
 		case s := <-terminate:
@@ -150,7 +163,7 @@
 	stop()
 	pool.Close()
 	background.Wait()
-	counters.Log(log, "end")
+	logCounters(counters, log, "end")
 	return err
 }
 
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinarch/internal/config"
 	"merlinarch/internal/metrics"
 	"merlinarch/internal/sockstat"
@@ -22,6 +24,7 @@
 type connTable struct {
 	limits   config.Limits
 	counters *metrics.Registry
+	shortage shortageLog
 
 	mu              sync.Mutex
 	total           int           // connections whose descriptor is not yet closed
@@ -33,8 +36,8 @@
 }
 
 // newConnTable returns an empty table.
-func newConnTable(limits config.Limits, counters *metrics.Registry) *connTable {
-	return &connTable{limits: limits, counters: counters, awaitingHead: list.New(), idle: list.New(), descriptorFreed: make(chan struct{}, 1)}
+func newConnTable(limits config.Limits, counters *metrics.Registry, log *zap.Logger) *connTable {
+	return &connTable{limits: limits, counters: counters, shortage: shortageLog{log: log}, awaitingHead: list.New(), idle: list.New(), descriptorFreed: make(chan struct{}, 1)}
 }
 
 // conn is a connection from a client. It controls net/http's deadlines and the order in which the connection closes.
@@ -365,6 +368,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for l.conns.isFull() && !l.isPastAcceptUntil() {
 		l.conns.counters.Inc("clients.accept_waits")
+		l.conns.shortage.note("descriptors")
 		l.conns.evictForRoom()
 		l.conns.setPendingCloses(l.conns.limits.ClosesPerAcceptWait)
 		l.conns.waitForClose()
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -60,6 +60,7 @@
 	gateway      Gateway
 	counters     *metrics.Registry
 	log          *zap.Logger
+	tracing      bool // the end of each request is logged
 	http         *http.Server
 	conns        *connTable
 	openRequests atomic.Int64
@@ -73,8 +74,8 @@
 
 // New returns a server that Serve starts.
 func New(limits config.Limits, settings logic.Settings, gateway Gateway, counters *metrics.Registry, log *zap.Logger) *Server {
-	srv := &Server{limits: limits, parser: newRequestParser(limits, settings), gateway: gateway, counters: counters, log: log,
-		conns: newConnTable(limits, counters), ids: openIDs{open: map[string]struct{}{}}, acceptDone: make(chan struct{})}
+	srv := &Server{limits: limits, parser: newRequestParser(limits, settings), gateway: gateway, counters: counters, log: log, tracing: log.Core().Enabled(zap.DebugLevel),
+		conns: newConnTable(limits, counters, log), ids: openIDs{open: map[string]struct{}{}}, acceptDone: make(chan struct{})}
 	errorLog, _ := zap.NewStdLogAt(log, zap.DebugLevel) // fails only for an unknown level
 	// Without these timeouts, a client that sends nothing, or only part of a head or body, would hold a descriptor forever.
 	// ReadTimeout runs from the start of the connection, or from the first byte of a later request, until the request has
@@ -231,7 +232,7 @@
 	}
 	if !deadline.After(time.Now()) {
 		s.counters.Inc("requests.over_when_read")
-		s.recordAndAnswer(w, fields, exchange.Answer{Status: exchange.TimedOut}, deadline)
+		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.TimedOut}, deadline)
 		return
 	}
 	if s.UsageRecorder != nil && s.UsageRecorder.Refusing() {
@@ -241,14 +242,14 @@
 	}
 	if noLease { // refused at once instead of waiting for a lease
 		s.counters.Inc("requests.refused_without_lease")
-		s.recordAndAnswer(w, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
+		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
 		return
 	}
 	if atCapacity {
 		// Without this limit, the node could run out of memory or descriptors, crash and lose every open request. Nothing has
 		// been sent for this request, so it can be refused whatever its class.
 		s.counters.Inc("requests.refused_full")
-		s.recordAndAnswer(w, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
+		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
 		return
 	}
 	// Two open requests with the same id would be taken for one request sent twice. The first goes on; the id may be used
@@ -260,13 +261,17 @@
 	answer := s.awaitAnswer(r.Context(), message, fields, deadline)
 	defer answer.Release()
 	s.ids.release(message.ID)
-	s.recordAndAnswer(w, fields, answer, deadline)
+	s.recordAndAnswer(w, message.ID, fields, answer, deadline)
 }
 
 // recordAndAnswer records the use of a final answer, if there is a recorder, and writes the answer. An answer that a client
 // has received must still be counted after a crash, so its use is made durable first. The wait for that is bounded, so
 // that a slow disk does not make the answer late.
-func (s *Server) recordAndAnswer(w http.ResponseWriter, fields exchange.Fields, answer exchange.Answer, deadline time.Time) {
+func (s *Server) recordAndAnswer(w http.ResponseWriter, id string, fields exchange.Fields, answer exchange.Answer, deadline time.Time) {
+	if s.tracing {
+		s.log.Debug("request answered", zap.String("id", id), zap.String("class", fields.Class), zap.Int("status", int(answer.Status)),
+			zap.Int("attempts", answer.Attempts), zap.Duration("time_left", time.Until(deadline)))
+	}
 	if s.UsageRecorder == nil {
 		s.writeAnswer(w, answer)
 		return
@@ -282,7 +287,9 @@
 // reject answers an invalid request, which the gateway never gets.
 func (s *Server) reject(w http.ResponseWriter, reqErr *requestError) {
 	s.counters.Inc("requests.bad_" + strconv.Itoa(reqErr.status))
-	s.log.Debug("bad request", zap.Int("status", reqErr.status), zap.String("reason", reqErr.message))
+	if s.tracing {
+		s.log.Debug("bad request", zap.Int("status", reqErr.status), zap.String("reason", reqErr.message))
+	}
 	s.writeResponse(w, reqErr.status, []byte(reqErr.message+"\n"))
 }
 
@@ -306,21 +313,31 @@
 			return ex.Answer()
 		case <-clientGone:
 			s.counters.Inc("requests.client_left")
+			s.traceLeft(ex, "the connection ended")
 			s.gateway.Abandon(ex)
 			clientGone, hangup = nil, nil
 		case <-hangup:
 			s.counters.Inc("requests.client_left_unseen")
+			s.traceLeft(ex, "the connection ended behind unread bytes")
 			s.gateway.Abandon(ex)
 			clientGone, hangup = nil, nil
 		case <-ownAnswerTimer.C:
 			if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
 				s.counters.Inc("requests.answered_by_node")
+				s.traceLeft(ex, "its time is over")
 				s.gateway.Abandon(ex)
 			}
 		}
 	}
 }
 
+// traceLeft logs why nobody waits for a request's answer any longer.
+func (s *Server) traceLeft(ex *exchange.Exchange, why string) {
+	if s.tracing {
+		s.log.Debug("request given up", zap.String("id", ex.Message.ID), zap.String("why", why))
+	}
+}
+
 // writeAnswer counts a final answer and writes it.
 func (s *Server) writeAnswer(w http.ResponseWriter, answer exchange.Answer) {
 	status := http.StatusBadGateway
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,7 @@
 	clock    Clock
 	counters *metrics.Registry
 	log      *zap.Logger
+	tracing  bool // the steps of each request are logged
 
 	events       chan event
 	done         chan struct{}
@@ -159,7 +160,7 @@
 
 // New returns a gateway for a decision module; Run starts it.
 func New(router *logic.Router, limits config.Limits, clock Clock, counters *metrics.Registry, log *zap.Logger) *Gateway {
-	g := &Gateway{limits: limits, clock: clock, counters: counters, log: log,
+	g := &Gateway{limits: limits, clock: clock, counters: counters, log: log, tracing: log.Core().Enabled(zap.DebugLevel),
 		events: make(chan event, limits.MaxEvents), done: make(chan struct{}), calls: map[*exchange.Exchange]*call{}}
 	g.driver, g.router = driver.New(router, effects{g}), router
 	return g
@@ -293,6 +294,7 @@
 // startRequest gives a new request to the module.
 func (g *Gateway) startRequest(ex *exchange.Exchange) {
 	f := ex.Fields
+	g.traceArrived(ex)
 	c := g.driver.Submit(g.clock.Now(), &request{ex: ex}, logic.RequestArrived{Class: f.Class, Tenant: f.Tenant,
 		Key: f.Key, HasKey: f.HasKey, TimeLeft: max(0, time.Until(ex.Deadline)), ExpectedWork: f.ExpectedWork, MarkedRetry: f.IsRetry, RequiredZone: f.RequiredZone})
 	if !c.Finished() {
@@ -307,6 +309,7 @@
 	if c == nil {
 		return
 	}
+	g.traceAbandoned(ex, c)
 	if g.driver.Abandon(g.clock.Now(), c) {
 		ex.Finish(exchange.Answer{Status: exchange.Failed})
 		delete(g.calls, ex)
@@ -324,6 +327,7 @@
 	ex := c.Request.ex
 	c.Request.cancel = nil
 	g.counters.Inc("attempts." + outcomeName(e.result.Outcome))
+	g.traceAttemptEnded(c, e)
 	requestOver := e.result.Outcome == logic.OK || e.result.NoLease || c.Finished() || ex.Ended()
 	if g.rules != nil {
 		g.rules.fleet.recordResult(c.Server, e.result)
@@ -376,6 +380,7 @@
 		sendBy = g.clock.Time(c.SendBy)
 	}
 	g.counters.Inc("attempts.sent")
+	g.traceAttempt(c)
 	c.Request.cancel = g.outputs.Servers.Start(Attempt{Exchange: c.Request.ex, Server: c.Server, DecidedAt: now, Deadline: deadline, SendBy: sendBy, ForwardOnly: c.ForwardOnly,
 		Report: func(r Result) { g.notify(attemptEnded{id, attempt, r}) }})
 }
@@ -389,6 +394,7 @@
 	if refused {
 		a.Status, a.RetryAfter = exchange.Refused, retryAfter
 	}
+	g.traceFinished(c, refused, retryAfter)
 	c.Request.ex.Finish(a)
 	if !c.InFlight() {
 		delete(g.calls, c.Request.ex)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -22,7 +22,11 @@
 	cfg.OutputPaths, cfg.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
 	// Lines with the same text are written 5 times a second, then every 1000th time: otherwise a line that a misbehaving
 	// peer causes again and again would flood the log.
+	// At debug level each line counts: a trace of single requests with gaps is of no use.
 	cfg.Sampling = &zap.SamplingConfig{Initial: 5, Thereafter: 1000}
+	if minLevel == zapcore.DebugLevel {
+		cfg.Sampling = nil
+	}
 	log, err := cfg.Build()
 	if err != nil {
 		return nil, fmt.Errorf("logger: %w", err)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// Set sets a counter that holds a current value instead of a sum.
+func (r *Registry) Set(name string, value int64) { r.counter(name).Store(value) }
+
 // Get returns the value of a counter.
 func (r *Registry) Get(name string) int64 { return r.counter(name).Load() }
 
