--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,13 +50,14 @@
 	// as it gets requests in subsetSeconds.
 	minSubsetSize, subsetSeconds = 6, 3.0
 
-	maxRandomDraws        = 6    // random draws of a server before a linear search
-	loadPerCost           = 6.0  // attempts in flight that weigh as much as a cost of 1
-	highHandshakeCost     = 0.05 // from this cost on, drawing a server without a connection is retried once
-	sameZoneFactor        = 8.0  // times the cross-zone cost: chance of a second choice in the own zone
-	lateReduction         = 2.0  // the trial's share shrinks by this multiple of the part of late answers
-	spillOverLoad         = 1.3  // load ratio beyond which requests for the new build go to the old one
-	maxClosedStageKeyUses = 2    // forward-only: keys used more often do not try a build in a closed stage
+	maxRandomDraws        = 6     // random draws of a server before a linear search
+	loadPerCost           = 6.0   // attempts in flight that weigh as much as a cost of 1
+	highHandshakeCost     = 0.05  // from this cost on, drawing a server without a connection is retried once
+	sameZoneFactor        = 8.0   // times the cross-zone cost: chance of a second choice in the own zone
+	lateReduction         = 2.0   // the trial's share shrinks by this multiple of the part of late answers
+	spillOverLoad         = 1.3   // load ratio beyond which requests for the new build go to the old one
+	maxClosedStageKeyUses = 2     // forward-only: keys used more often do not try a build in a closed stage
+	maxTrackedKeys        = 32768 // forward-only: keys whose uses, or whose builds, are kept
 
 	attemptSmoothing      = 0.08                   // weight of one attempt in the moving averages
 	longIdle              = 500 * time.Millisecond // connections idle for longer may be dropped silently
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -708,3 +709,47 @@
 		}
 	}
 }
+
+// The memory for keys is bounded, however many different keys clients send: in a quiet time nothing is kept, and during a
+// trial no more than maxTrackedKeys entries. It guards against memory that grows with the names that clients choose.
+func TestStateDoesNotGrowWithKeys(t *testing.T) {
+	settings := testSettings()
+	settings.Rollout.ForwardOnly, settings.Rollout.ClosedStages = true, 1
+	const keys = 150_000
+	for _, c := range []struct {
+		name  string
+		phase Phase
+		stage int
+		cap   float64
+		limit int
+	}{
+		{"quiet", Released, 2, 1, 0},
+		{"closed stage", OnTrial, 0, 0.1, maxTrackedKeys},
+		{"open stage", OnTrial, 1, 1, maxTrackedKeys},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(settings, 7)
+			now := startTime
+			servers := []Server{testServer(1), testServer(2)}
+			build := BuildID(1)
+			if c.phase == OnTrial {
+				build, servers = 2, append(servers, testServer(3, withBuild(2)))
+			}
+			r.Handle(now, ServersListed{Full: true, Servers: servers})
+			r.Handle(now, ReleaseStatus{Build: build, Stage: c.stage, Phase: c.phase, Cap: c.cap})
+			for key := range keys {
+				now += 100 * time.Microsecond
+				id := RequestID(strconv.Itoa(key))
+				for _, a := range r.Handle(now, RequestArrived{ID: id, Class: "read", Key: uint64(key) + 1, HasKey: true, TimeLeft: time.Second}) {
+					if send, ok := a.(Send); ok && send.ID == id {
+						r.Handle(now, AttemptDone{ID: id, Outcome: OK, Duration: time.Millisecond, Server: send.Server, RequestEnded: true})
+						break
+					}
+				}
+			}
+			if uses, builds := len(r.keyUses), len(r.keyBuilds); uses > c.limit || builds > c.limit {
+				t.Errorf("after %d keys, uses of %d and builds of %d are kept, want at most %d", keys, uses, builds, c.limit)
+			}
+		})
+	}
+}
