--- a/logic/logic.go
+++ b/logic/logic.go
@@ -376,6 +376,7 @@
 	}
 	r.base.subset, r.trial.subset = r.subsetOf(r.base.all), r.subsetOf(r.trial.all)
 	r.baseSlowStartPart = r.slowStartPart(r.base)
+	r.raiseKeyFloor()
 }
 
 // subsetOf returns the servers that this router uses. A router that gets no in-flight counts from its peers
@@ -529,15 +530,6 @@
 	return nil
 }
 
-// minBuildFor returns the oldest build that may serve the request's key where keys may only move forward to
-// newer builds, or 0 for any.
-func (r *Router) minBuildFor(req *request) BuildID {
-	if !r.settings.Rollout.ForwardOnly || !req.HasKey {
-		return 0
-	}
-	return r.keyBuilds[req.Key] * BuildID(oneIf(!r.rejectedBuilds[r.keyBuilds[req.Key]]))
-}
-
 // ---- Handling of a request ----
 
 // admitRequest registers a new request and sends its first attempt or queues it.
@@ -569,21 +561,15 @@
 
 // drawForTrial decides at random whether the first attempt of a request goes to the build on trial. Where
 // keys may only move forward, requests whose key is bound to that build use up a part of its share, so fewer
-// of the others are drawn. Keys in frequent use are not drawn in closed stages: once such a key is bound to
-// the new build, its requests of classes other than Safe could not be served by any build.
+// of the others are drawn.
 func (r *Router) drawForTrial(req *request) {
 	if r.trialBuild == 0 {
 		return
 	}
 	chance := r.trialChance(req.class)
 	if r.settings.Rollout.ForwardOnly && req.HasKey {
-		r.keyUses[req.Key]++
-		isPinned := r.keyBuilds[req.Key] == r.trialBuild
-		if smooth(&req.class.pinnedPart, 0.02, float64(oneIf(isPinned))); isPinned {
-			return
-		}
-		if _, stage := r.trialCap(r.trialBuild); stage < r.settings.Rollout.ClosedStages &&
-			r.keyUses[req.Key] > maxClosedStageKeyUses {
+		mayDraw, isPinned := r.mayDrawKey(req), r.keyBuilds[req.Key] == r.trialBuild
+		if smooth(&req.class.pinnedPart, 0.02, float64(oneIf(isPinned))); isPinned || !mayDraw {
 			return
 		}
 		chance = max(0, chance-req.class.pinnedPart)
@@ -652,7 +638,7 @@
 		smooth(&req.class.meanSeconds, 0.05, e.Duration.Seconds())
 	}
 	if req.HasKey && r.settings.Rollout.ForwardOnly && (e.Outcome == OK || e.AnswerBegun) {
-		r.keyBuilds[req.Key] = max(r.keyBuilds[req.Key], req.sentTo.Build)
+		r.bindKey(req, req.sentTo.Build)
 	}
 	if e.Outcome.MayHaveRun() && !req.mayHaveRun {
 		req.mayHaveRun, req.mayHaveRunAt, req.mayHaveRunOn = true, req.sentAt, req.sentTo
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -753,3 +753,28 @@
 		})
 	}
 }
+
+// Once only servers of the released build are listed, no key goes to a server of an earlier build that is listed again,
+// whether or not the key was seen before, until the build is rolled back.
+func TestReleasedBuildBindsAllKeys(t *testing.T) {
+	settings := testSettings()
+	settings.Rollout.ForwardOnly = true
+	for _, rolledBack := range []bool{false, true} {
+		g := newHarness(t, settings, 7)
+		g.setServers(testServer(3, withBuild(2)))
+		g.setRelease(2, 2, Released, 1)
+		g.endAttempt(g.feed(RequestArrived{ID: "first", Class: "read", Key: 5, HasKey: true, TimeLeft: time.Second})[0], OK)
+		g.setServers(testServer(1), testServer(3, withBuild(2), withState(Draining)))
+		if rolledBack {
+			g.setRelease(2, 2, RollingBack, 0)
+		}
+		for key := range uint64(10) {
+			g.feed(RequestArrived{ID: RequestID(fmt.Sprint("next", key)), Class: "read", Key: key, HasKey: true, TimeLeft: time.Second})
+		}
+		g.advance(500 * ms)
+		toOld := slices.ContainsFunc(g.sends, func(s Send) bool { return s.Server == 1 })
+		if toOld != rolledBack {
+			t.Errorf("rolled back %v: sent to a server of the earlier build %v", rolledBack, toOld)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,7 +36,8 @@
 	tenants   map[string]*tenant
 	budgets   map[budgetKey]*budget
 	keyBuilds map[uint64]BuildID // with ForwardOnly: the newest build that has answered a key
-	keyUses   map[uint64]int     // with ForwardOnly: requests per key in this stage
+	keyUses   map[uint64]int     // with ForwardOnly: requests per key in this stage, while it is closed
+	keyFloor  BuildID            // with ForwardOnly: all keys are bound to this build, or to newer ones; 0: none
 
 	requests  map[RequestID]*request
 	queue     []*request
@@ -416,7 +417,7 @@
 	maps.DeleteFunc(r.peerReports, func(_ peerKey, m Report) bool { return m.Build < r.release.Build })
 	maps.DeleteFunc(r.budgets, func(k budgetKey, _ *budget) bool { return k.build < r.release.Build })
 	maps.DeleteFunc(r.rejectedBuilds, func(b BuildID, _ bool) bool { return b < oldest })
-	maps.DeleteFunc(r.keyBuilds, func(_ uint64, b BuildID) bool { return b <= oldest })
+	maps.DeleteFunc(r.keyBuilds, func(_ uint64, b BuildID) bool { return b <= max(oldest, r.keyFloor) })
 }
 
 // highestLatencyRatio returns the ratio of mean latency to latency target, for the class in which it is
