--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -29,6 +29,7 @@
 	"merlinarch/internal/features"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/ledger"
+	"merlinarch/internal/memory"
 	"merlinarch/internal/metrics"
 	"merlinarch/internal/peers"
 	"merlinarch/internal/platform"
@@ -93,7 +94,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	gw := gateway.New(logic.New(c.Settings, c.Seed), c.Limits, clock, counters, log)
+	requestMemory := memory.NewBudget(c.Limits.RequestMemory)
 	pool := servers.New(c.Limits, counters)
+	pool.Memory = requestMemory
 	outputs.Servers = pool
 	var background sync.WaitGroup
 	var follower *accord.Follower
@@ -127,6 +130,7 @@
 	background.Go(func() { watcher.Run(ctx) })
 
 	clientServer := clients.New(c.Limits, c.Settings, gw, counters, log)
+	clientServer.UseMemory(requestMemory)
 	if usageLedger != nil {
 		clientServer.UsageRecorder = ledger.NewCounter(usageLedger, c.Settings, f.Ledger.OnFailure == "refuse", counters, log)
 	}
--- /dev/null
+++ b/internal/clients/conn.go
@@ -0,0 +1,350 @@
+package clients
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// baseBuffer is the size of a connection's first buffer for received bytes, which the memory budget does not count.
+	baseBuffer = 1 << 10
+	// lastReadTime is how long a connection whose time is over is read once more, for bytes that have already arrived.
+	lastReadTime = time.Millisecond
+	// firstRequestGrace is the least time that a connection's first request has from its first byte. Clients are owed an
+	// error or a close within 3 s of connecting, so what begins late has less than RequestReadTimeout.
+	firstRequestGrace = 500 * time.Millisecond
+)
+
+// conn is a connection from a client. It stands between the kernel and net/http: it passes on a request's head once it is
+// complete and checked, then the body, and nothing of what follows until the answer is written. So it knows at each moment
+// whether a request is awaited, arriving or being answered; it can end a connection without losing a request; and what
+// a client sends takes bounded memory. It also controls net/http's deadlines and the order in which the connection closes.
+type conn struct {
+	net.Conn
+	table      *connTable
+	acceptedAt time.Time
+	reserved   atomic.Int64 // bytes of the memory budget that its buffer holds
+	bodyBytes  atomic.Int64 // bytes of the memory budget that the body of its present request holds
+
+	// The fields below belong to the goroutine that reads: net/http has only one at a time.
+	received      []byte      // received, and not yet passed to net/http
+	scanner       headScanner // of the head that is arriving
+	passable      int64       // how many of the next bytes may be passed: the rest of a head and its body
+	arriving      bool        // a request has begun to arrive and is not yet complete
+	lastRead      bool        // its time is over: only what has already arrived is read
+	writeDeadline time.Time   // the current write deadline
+	hadRequest    bool        // a request has been received
+
+	// The fields below are guarded by table.mu.
+	listElement     *list.Element // the position in one of the table's lists; nil: in none
+	inList          *list.List    // the list that it is in; nil: none
+	listedSince     time.Time     // when it was added to the list
+	closed          bool
+	evicting        bool      // to be closed unless a whole request has arrived
+	answering       bool      // a request head has been read and its answer is not yet written
+	requestDeadline time.Time // when the request that is arriving has to be complete; zero: none is arriving
+}
+
+// Read passes bytes to net/http, as described at conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.passable == 0 && len(b) == 1 && c.isAnswering() {
+		return c.readAhead(b)
+	}
+	if c.passable == 0 {
+		if err := c.awaitHead(); err != nil {
+			return 0, err
+		}
+	}
+	return c.pass(b)
+}
+
+// isAnswering reports whether a request's head has been passed on and its answer is not yet written.
+func (c *conn) isAnswering() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.answering
+}
+
+// pass passes on the next bytes of the present request.
+func (c *conn) pass(b []byte) (n int, err error) {
+	b = b[:min(int64(len(b)), c.passable)]
+	if len(c.received) > 0 {
+		n = copy(b, c.received)
+		c.consume(n)
+	} else {
+		n, err = c.receive(b)
+	}
+	c.passable -= int64(n)
+	if c.arriving && c.passable <= int64(len(c.received)) {
+		c.arriving, c.lastRead = false, false
+		c.table.requestReceived(c)
+	}
+	return n, err
+}
+
+// awaitHead waits until the whole head of the next request has arrived, and checks it. An invalid head is answered here.
+func (c *conn) awaitHead() error {
+	c.scanner = headScanner{maxFields: c.table.limits.MaxHeadFields, maxBytes: c.table.limits.MaxHead}
+	if len(c.received) > 0 {
+		c.beginHead()
+	}
+	for {
+		head := c.scanner.scan(c.received)
+		if head.rejected != nil {
+			return c.rejectHead(head.rejected)
+		}
+		if head.end > 0 {
+			c.passable = int64(head.end) + head.bodySize
+			if c.passable > int64(len(c.received)) {
+				c.table.headReceived(c)
+			}
+			return nil
+		}
+		if !c.growBuffer(c.table.limits.MaxHead+baseBuffer, c.reserveForRequest) {
+			return c.rejectHead(&requestError{http.StatusServiceUnavailable, "no memory for the head"})
+		}
+		n, err := c.receive(c.received[len(c.received):cap(c.received)])
+		if n > 0 && len(c.received) == 0 {
+			c.beginHead()
+		}
+		c.received = c.received[:len(c.received)+n]
+		if n == 0 && err != nil {
+			return c.endedAwaitingHead(err)
+		}
+	}
+}
+
+// beginHead notes that the first bytes of a request have arrived.
+func (c *conn) beginHead() {
+	now := time.Now()
+	deadline := now.Add(c.table.limits.RequestReadTimeout)
+	if !c.hadRequest {
+		latest := c.acceptedAt.Add(c.table.limits.RequestReadTimeout)
+		if graceEnd := now.Add(firstRequestGrace); latest.Before(graceEnd) {
+			latest = graceEnd
+		}
+		if latest.Before(deadline) {
+			deadline = latest
+		}
+	}
+	c.arriving, c.lastRead = true, false
+	c.table.requestBegun(c, deadline)
+}
+
+// endedAwaitingHead releases the buffer of a connection that ends before a whole head has arrived, and returns the error
+// for net/http.
+func (c *conn) endedAwaitingHead(err error) error {
+	if len(c.received) == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.table.counters.Inc("clients.ended_idle")
+		err = io.EOF
+	}
+	c.consume(len(c.received))
+	return err
+}
+
+// rejectHead answers an invalid head and ends the connection.
+func (c *conn) rejectHead(reqErr *requestError) error {
+	c.table.counters.Inc(fmt.Sprintf("requests.bad_%d", reqErr.status))
+	c.table.mu.Lock()
+	c.answering = true // the connection is closed as after any answer
+	c.table.mu.Unlock()
+	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s\n", reqErr.status,
+		http.StatusText(reqErr.status), len(reqErr.message)+1, reqErr.message) // an error means that the client has gone
+	c.consume(len(c.received))
+	return io.EOF
+}
+
+// readAhead is the read by which net/http notices the end of a connection while its request is being answered. Bytes that
+// come meanwhile are kept for the next request, as far as ReadAhead and the memory budget allow.
+func (c *conn) readAhead(b []byte) (int, error) {
+	for {
+		if len(c.received) > 0 && (len(c.received) >= c.table.limits.ReadAhead || !c.growBuffer(c.table.limits.ReadAhead, c.reserveAhead)) {
+			b[0] = c.received[0] // net/http puts it in front of what it reads next
+			c.consume(1)
+			return 1, nil
+		}
+		target := b // no buffer is needed as long as nothing comes
+		if len(c.received) > 0 {
+			target = c.received[len(c.received):cap(c.received)]
+		}
+		n, err := c.Conn.Read(target)
+		c.extendWriteDeadline()
+		switch {
+		case len(c.received) > 0:
+			c.received = c.received[:len(c.received)+n]
+		case n > 0:
+			c.received = append(make([]byte, 0, baseBuffer), b[:n]...)
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// receive reads from the kernel. When the deadline has passed it reads once more, since bytes that arrived before it are
+// otherwise lost.
+func (c *conn) receive(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		c.extendWriteDeadline()
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.lastRead {
+			return n, err
+		}
+		c.lastRead = true
+		if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// growBuffer makes room for at least one more received byte, and reports whether there is memory for it. The buffer holds
+// at most limit bytes; what exceeds baseBuffer is reserved.
+func (c *conn) growBuffer(limit int, reserve func(bytes int) bool) bool {
+	if len(c.received) < cap(c.received) {
+		return true
+	}
+	size := min(max(baseBuffer, 2*cap(c.received)), limit)
+	if more := size - max(baseBuffer, cap(c.received)); more > 0 {
+		if !reserve(more) {
+			return false
+		}
+		c.reserved.Add(int64(more))
+	}
+	c.received = append(make([]byte, 0, size), c.received...)
+	return true
+}
+
+// reserveAhead takes bytes from the memory budget for what arrives before it is due, if there are enough.
+func (c *conn) reserveAhead(bytes int) bool {
+	return c.table.memory.Reserve(bytes, c.table.limits.RequestMemory/answerMemoryPart)
+}
+
+// reserveForRequest takes bytes from the memory budget for the request that is arriving.
+func (c *conn) reserveForRequest(bytes int) bool { return c.table.reserveMemory(c, bytes) }
+
+// reserveForBody takes bytes from the memory budget for the body of the present request, until releaseBody.
+func (c *conn) reserveForBody(bytes int) bool {
+	if !c.table.reserveMemory(c, bytes) {
+		return false
+	}
+	c.bodyBytes.Add(int64(bytes))
+	return true
+}
+
+// releaseBody returns what reserveForBody took.
+func (c *conn) releaseBody() { c.table.memory.Release(int(c.bodyBytes.Swap(0))) }
+
+// consume drops the first n received bytes, and the buffer once it is empty: idle connections hold none.
+func (c *conn) consume(n int) {
+	c.received = c.received[:copy(c.received, c.received[n:])]
+	if len(c.received) == 0 {
+		c.received = nil
+		c.table.memory.Release(int(c.reserved.Swap(0)))
+	}
+}
+
+// SetReadDeadline sets net/http's deadlines, but not beyond the one of a request that is arriving. On a connection that is
+// marked for eviction it does nothing: net/http could replace the deadline that wakes its reader, and the connection would
+// count as being evicted but stay open, and no other would be evicted in its place.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.evicting {
+		return nil
+	}
+	if !c.requestDeadline.IsZero() && (t.IsZero() || c.requestDeadline.Before(t)) {
+		t = c.requestDeadline
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline does nothing: extendWriteDeadline controls the write deadline, which net/http would clear after each
+// answer.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// Close closes the connection; it stays in the table's total until its descriptor is closed. A connection that is closed
+// with unread bytes, or that receives bytes afterwards, is reset, and the client loses what it has not yet read of its
+// last answer. So after an answer only the sending side is closed at first, and incoming bytes are discarded, within
+// limits of time and size, until the client closes too. A connection that is evicted does not wait: its descriptor is
+// needed, and its client has not sent a whole request.
+func (c *conn) Close() error {
+	c.table.mu.Lock()
+	alreadyClosed, linger := c.closed, c.answering && !c.evicting && c.table.limits.Linger > 0
+	c.closed, c.answering = true, false
+	if !alreadyClosed {
+		c.table.removeFromList(c)
+		c.setEvicting(false)
+	}
+	c.table.mu.Unlock()
+	if alreadyClosed {
+		return net.ErrClosed
+	}
+	c.table.memory.Release(int(c.reserved.Swap(0)))
+	if linger && c.CloseWrite() == nil {
+		go func() {
+			defer c.closeDescriptor()
+			if c.Conn.SetReadDeadline(time.Now().Add(c.table.limits.Linger)) == nil {
+				io.Copy(io.Discard, io.LimitReader(c.Conn, c.table.limits.LingerBytes)) // until the client closes or a limit is reached
+			}
+		}()
+		return nil
+	}
+	return c.closeDescriptor()
+}
+
+// closeDescriptor closes the descriptor, takes the connection off the table's total and wakes waitForDescriptor.
+func (c *conn) closeDescriptor() error {
+	err := c.Conn.Close()
+	c.table.mu.Lock()
+	c.table.total--
+	c.table.mu.Unlock()
+	select {
+	case c.table.descriptorFreed <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// extendWriteDeadline gives answers time to be written. Without a write deadline, a client that does not read would hold
+// a connection and memory forever. An answer is cut off only after it has stalled for several times the longest client
+// wait. The deadline is set again only when less than half of it remains, since setting it costs as much as a read.
+func (c *conn) extendWriteDeadline() {
+	timeout := c.table.limits.WriteStallTimeout
+	if now := time.Now(); c.writeDeadline.Before(now.Add(timeout / 2)) {
+		c.writeDeadline = now.Add(timeout)
+		if c.Conn.SetWriteDeadline(c.writeDeadline) != nil {
+			c.table.counters.Inc("clients.no_deadline") // the connection has already closed
+		}
+	}
+}
+
+// markFirstRequest records that a request has been received, and reports whether it is the connection's first.
+func (c *conn) markFirstRequest() bool {
+	hadRequest := c.hadRequest
+	c.hadRequest = true
+	return !hadRequest
+}
+
+// CloseWrite closes the sending side. net/http uses it to finish an answer to a request that it could not read, without
+// cutting the answer off.
+func (c *conn) CloseWrite() error {
+	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return halfCloser.CloseWrite()
+	}
+	return nil
+}
+
+// setEvicting marks or unmarks the connection for eviction. The caller holds the table's lock.
+func (c *conn) setEvicting(evicting bool) {
+	if c.evicting != evicting {
+		c.evicting = evicting
+		c.table.evictingCount += map[bool]int{true: 1, false: -1}[evicting]
+	}
+}
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -2,245 +2,115 @@
 
 import (
 	"container/list"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/memory"
 	"merlinarch/internal/metrics"
 	"merlinarch/internal/sockstat"
 )
 
-// connTable tracks the open connections from clients, so that the oldest inactive ones can be evicted when
-// descriptors run short.
+const (
+	// evictionWait is the longest wait for an evicted connection to give back its descriptor.
+	evictionWait = 2 * time.Millisecond
+	// memoryEvictionTime is the longest wait for an evicted connection to give back its memory.
+	memoryEvictionTime = 10 * time.Millisecond
+	// answerMemoryPart is the divisor that gives the part of the memory budget that requests leave to answers.
+	answerMemoryPart = 2
+)
+
+// connTable tracks the open connections from clients, so that room can be made when descriptors or memory run short:
+// connections that have not sent a whole request make room first, then the one idle longest.
 type connTable struct {
 	limits   config.Limits
 	counters *metrics.Registry
 	shortage shortageLog
+	memory   *memory.Budget
 
 	mu              sync.Mutex
 	total           int           // connections whose descriptor is not yet closed
 	pendingCloses   int           // how many of the next answers close their connections, because a new one waits for a descriptor
 	evictingCount   int           // connections marked for eviction that have not closed yet; part of total
-	awaitingHead    *list.List    // of *conn: no whole request head has been read yet; oldest first
-	idle            *list.List    // of *conn: the last answer is written and nothing was read since; longest idle first
+	awaitingHead    *list.List    // of *conn: no whole head has been received since the connection was accepted or the request began; oldest first
+	awaitingBody    *list.List    // of *conn: a head has been received and its body is incomplete; oldest first
+	idle            *list.List    // of *conn: the last answer is written and nothing was received since; longest idle first
 	descriptorFreed chan struct{} // receives a value when a descriptor is closed
+
+	memoryVictim      *conn     // the connection that was last evicted for its memory
+	memoryVictimSince time.Time // when that was
 }
 
 // newConnTable returns an empty table.
 func newConnTable(limits config.Limits, counters *metrics.Registry, log *zap.Logger) *connTable {
-	return &connTable{limits: limits, counters: counters, shortage: shortageLog{log: log}, awaitingHead: list.New(), idle: list.New(), descriptorFreed: make(chan struct{}, 1)}
-}
-
-// conn is a connection from a client. It controls net/http's deadlines and the order in which the connection closes.
-type conn struct {
-	net.Conn
-	table *connTable
-
-	writeDeadline time.Time // the current write deadline; accessed only by Read
-	hadRequest    bool      // a request has been received; accessed only by the connection's handlers
-
-	// The fields below are guarded by table.mu.
-	listElement *list.Element // the position in one of the table's lists; nil: in none
-	inIdleList  bool          // the list is table.idle: nothing has been read since the last answer
-	listedSince time.Time     // when it was added to the list
-	closed      bool
-	evicting    bool          // to be closed unless bytes of a request have arrived
-	hasReceived bool          // at least one byte has been read
-	answering   bool          // a request head has been read and its answer is not yet written
-	hangup      chan struct{} // for the request being answered: closed when its client hangs up and net/http cannot detect it
+	return &connTable{limits: limits, counters: counters, shortage: shortageLog{log: log}, memory: memory.NewBudget(limits.RequestMemory),
+		awaitingHead: list.New(), awaitingBody: list.New(), idle: list.New(), descriptorFreed: make(chan struct{}, 1)}
 }
 
-// Read removes a connection from the idle list before net/http sees a byte of its next request. It ends a connection
-// that is marked for eviction or has been silent for too long only if no byte of a request has arrived. net/http
-// reports a connection as active only after it has read the head, so a connection closed before that could lose a
-// request that had already been received.
-func (c *conn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		c.extendWriteDeadline()
-		c.table.mu.Lock()
-		betweenRequests := c.evicting || c.inIdleList || !c.hasReceived
-		c.setEvicting(false)
-		c.hasReceived = c.hasReceived || n > 0
-		if n == 1 && len(b) == 1 && c.answering {
-			c.pollForHangup()
-		}
-		timedOut := betweenRequests && n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
-		if timedOut && sockstat.OpenAndEmpty(c.Conn) {
-			c.table.mu.Unlock()
-			c.table.counters.Inc("clients.ended_idle")
-			return 0, io.EOF
-		}
-		if c.inIdleList {
-			c.table.removeFromList(c)
-		}
-		c.table.mu.Unlock()
-		if !timedOut {
-			return n, err
-		}
-		// The deadline has passed and bytes have arrived: without a new deadline, the rest of this request could stall
-		// forever.
-		if err := c.Conn.SetReadDeadline(time.Now().Add(c.table.limits.RequestReadTimeout)); err != nil {
-			return n, err
-		}
-	}
-}
-
-// pollForHangup polls for the client's hangup while its request is being answered. The caller holds the table's lock.
-// net/http reads one byte after a request to detect the end of the connection, and reads no more until the answer is
-// written. If that byte exists (from a next request or an extra line break), net/http never sees the end, and the
-// request would be forwarded although no client waits for it.
-func (c *conn) pollForHangup() {
-	hangup, interval := c.hangup, max(c.table.limits.HangupPollInterval, time.Millisecond)
-	var poll func()
-	poll = func() {
-		c.table.mu.Lock()
-		defer c.table.mu.Unlock()
-		switch {
-		case c.closed || c.hangup != hangup: // the request has been answered
-		case sockstat.PeerClosed(c.Conn):
-			close(hangup)
-			c.hangup = nil
-		default:
-			time.AfterFunc(interval, poll)
-		}
-	}
-	time.AfterFunc(interval, poll)
-}
-
-// hangupSignal returns the channel that is closed if the client of the current request hangs up and net/http cannot
-// detect it.
-func (c *conn) hangupSignal() <-chan struct{} {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	return c.hangup
-}
-
-// SetReadDeadline sets net/http's deadlines, except on a connection that is marked for eviction. Otherwise net/http
-// could replace the deadline that wakes its reader: the connection would count as being evicted but stay open, and no
-// other would be evicted in its place.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	if c.evicting {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// SetWriteDeadline does nothing: extendWriteDeadline controls the write deadline, which net/http would clear after each
-// answer.
-func (c *conn) SetWriteDeadline(time.Time) error { return nil }
-
-// Close closes the connection; it stays in the table's total until its descriptor is closed. A connection that is closed
-// with unread bytes, or that receives bytes afterwards, is reset, and the client loses what it has not yet read of its
-// last answer. So after an answer only the sending side is closed at first, and incoming bytes are discarded, within
-// limits of time and size, until the client closes too.
-func (c *conn) Close() error {
-	c.table.mu.Lock()
-	alreadyClosed, afterAnswer := c.closed, c.answering
-	c.closed, c.answering = true, false
-	if !alreadyClosed {
-		c.table.removeFromList(c)
-		c.setEvicting(false)
-	}
-	c.table.mu.Unlock()
-	if alreadyClosed {
-		return net.ErrClosed
-	}
-	if afterAnswer && c.table.limits.Linger > 0 && c.CloseWrite() == nil {
-		go func() {
-			defer c.closeDescriptor()
-			if c.Conn.SetReadDeadline(time.Now().Add(c.table.limits.Linger)) == nil {
-				io.Copy(io.Discard, io.LimitReader(c.Conn, c.table.limits.LingerBytes)) // until the client closes or a limit is reached
-			}
-		}()
-		return nil
-	}
-	return c.closeDescriptor()
-}
-
-// closeDescriptor closes the descriptor, takes the connection off the table's total and wakes waitForClose.
-func (c *conn) closeDescriptor() error {
-	err := c.Conn.Close()
-	c.table.mu.Lock()
-	c.table.total--
-	c.table.mu.Unlock()
-	select {
-	case c.table.descriptorFreed <- struct{}{}:
-	default:
+// addToList appends an open connection that is in no list to the given one. The caller holds the lock.
+func (t *connTable) addToList(c *conn, to *list.List) {
+	if !c.closed && c.listElement == nil {
+		c.listElement, c.inList, c.listedSince = to.PushBack(c), to, time.Now()
 	}
-	return err
 }
 
-// extendWriteDeadline gives answers time to be written. Without a write deadline, a client that does not read would hold
-// a connection and memory forever. An answer is cut off only after it has stalled for several times the longest client
-// wait. The deadline is set again only when less than half of it remains, since setting it costs as much as a read.
-func (c *conn) extendWriteDeadline() {
-	timeout := c.table.limits.WriteStallTimeout
-	if now := time.Now(); c.writeDeadline.Before(now.Add(timeout / 2)) {
-		c.writeDeadline = now.Add(timeout)
-		if c.Conn.SetWriteDeadline(c.writeDeadline) != nil {
-			c.table.counters.Inc("clients.no_deadline") // the connection has already closed
-		}
+// removeFromList removes a connection from its list, if it is in one. The caller holds the lock.
+func (t *connTable) removeFromList(c *conn) {
+	if c.listElement != nil {
+		c.inList.Remove(c.listElement)
+		c.listElement, c.inList = nil, nil
 	}
 }
 
-// markFirstRequest records that a request has been received, and reports whether it is the connection's first.
-func (c *conn) markFirstRequest() bool {
-	hadRequest := c.hadRequest
-	c.hadRequest = true
-	return !hadRequest
-}
-
-// CloseWrite closes the sending side. net/http uses it to finish an answer to a request that it could not read, without
-// cutting the answer off.
-func (c *conn) CloseWrite() error {
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return halfCloser.CloseWrite()
-	}
-	return nil
+// accepted adds a new connection.
+func (t *connTable) accepted(nc net.Conn) *conn {
+	c := &conn{Conn: nc, table: t, acceptedAt: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.total++
+	t.addToList(c, t.awaitingHead)
+	return c
 }
 
-// setEvicting marks or unmarks the connection for eviction. The caller holds the table's lock.
-func (c *conn) setEvicting(evicting bool) {
-	if c.evicting != evicting {
-		c.evicting = evicting
-		c.table.evictingCount += map[bool]int{true: 1, false: -1}[evicting]
+// requestBegun notes that a request has begun to arrive, and when it has to be complete.
+func (t *connTable) requestBegun(c *conn, deadline time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.inList != t.awaitingHead { // otherwise it keeps its place, from when it was accepted
+		t.removeFromList(c)
+		t.addToList(c, t.awaitingHead)
 	}
+	c.setEvicting(false)
+	c.requestDeadline = deadline
+	c.Conn.SetReadDeadline(deadline) // fails only on a closed connection
 }
 
-// addToList appends an open connection that is in no list to the given one. The caller holds the lock.
-func (t *connTable) addToList(c *conn, to *list.List) {
-	if !c.closed && c.listElement == nil {
-		c.listElement, c.inIdleList, c.listedSince = to.PushBack(c), to == t.idle, time.Now()
-	}
+// headReceived notes that a head has been received and its body is incomplete.
+func (t *connTable) headReceived(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeFromList(c)
+	t.addToList(c, t.awaitingBody)
 }
 
-// removeFromList removes a connection from its list, if it is in one. The caller holds the lock.
-func (t *connTable) removeFromList(c *conn) {
-	if c.listElement == nil {
-		return
-	}
-	if c.inIdleList {
-		t.idle.Remove(c.listElement)
-	} else {
-		t.awaitingHead.Remove(c.listElement)
+// requestReceived notes that a whole request has been received. From here on its connection is not evicted.
+func (t *connTable) requestReceived(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeFromList(c)
+	c.requestDeadline = time.Time{}
+	if c.evicting {
+		c.setEvicting(false)
+		c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
-	c.listElement, c.inIdleList = nil, false
 }
 
-// onStateChange is net/http's ConnState hook. It removes a connection from its list once a request head has been read,
-// and adds it to the idle list once the answer is written.
+// onStateChange is net/http's ConnState hook. A connection becomes idle once the answer is written, unless the next
+// request has already begun to arrive.
 func (t *connTable) onStateChange(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
 	if !ok || to != http.StateIdle && to != http.StateActive {
@@ -249,33 +119,59 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.answering = to == http.StateActive; c.answering {
-		t.removeFromList(c)
-		c.hangup = make(chan struct{})
+		return
+	}
+	c.requestDeadline = time.Time{}
+	t.removeFromList(c)
+	if len(c.received) > 0 {
+		t.addToList(c, t.awaitingHead)
 	} else {
-		c.hangup = nil
 		t.addToList(c, t.idle)
 	}
 }
 
-// evictForRoom evicts one connection if descriptors are short, and reports whether it did. It first tries the oldest
-// connection that has not sent a whole head for EvictSilentAfter, then the one idle longest, if for EvictIdleAfter:
-// clients may see a connection close between requests, but one used a moment ago may well have its next request under
-// way. Silent connections go first, since hundreds of them would otherwise push out connections that serve requests.
-// Connections already being evicted count as gone: on a busy machine they take time to close, and evicting others
-// meanwhile would close many that clients still want. The cost: while descriptors are short, a client whose first head
-// takes longer than EvictSilentAfter to arrive may lose its connection.
-func (t *connTable) evictForRoom() bool {
+// evictForRoom evicts one connection if descriptors are short, and reports whether it did. Those that have not sent a
+// whole request go first, since hundreds of them would otherwise push out connections that serve requests: the oldest that
+// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, for EvictIncompleteAfter. Then comes the
+// one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a moment ago
+// may well have its next request under way. Connections already being evicted count as gone: on a busy machine they take
+// time to close, and evicting others meanwhile would close many that clients still want. The cost: while descriptors are
+// short, a client whose request takes longer to arrive may lose its connection.
+func (t *connTable) evictForRoom(newOneWaits bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.total-t.evictingCount <= t.limits.ClientConns-t.limits.SpareClientConns {
+	wanted, minAge := t.limits.ClientConns-t.limits.SpareClientConns, t.limits.EvictSilentAfter
+	if newOneWaits {
+		wanted, minAge = min(wanted, t.limits.ClientConns-1), min(minAge, t.limits.EvictIncompleteAfter)
+	}
+	if t.total-t.evictingCount <= wanted {
 		return false
 	}
-	return t.evictOldest(t.awaitingHead, t.limits.EvictSilentAfter) || t.evictOldest(t.idle, t.limits.EvictIdleAfter)
+	if t.evictIncomplete(minAge) {
+		return true
+	}
+	return !t.manyIncomplete() && t.evictOldest(t.idle, t.limits.EvictIdleAfter)
+}
+
+// manyIncomplete reports whether so many connections have not sent a whole request that room can be expected from them,
+// even if they have not waited long enough yet. The caller holds the lock.
+func (t *connTable) manyIncomplete() bool {
+	return t.awaitingHead.Len()+t.awaitingBody.Len() > t.limits.ClientConns/4
+}
+
+// evictIncomplete evicts the connection that has waited longest to complete its request, if for at least minAge, and
+// reports whether there was one. The caller holds the lock.
+func (t *connTable) evictIncomplete(minAge time.Duration) bool {
+	oldest := t.awaitingHead
+	if head, body := t.awaitingHead.Front(), t.awaitingBody.Front(); head == nil || body != nil && body.Value.(*conn).listedSince.Before(head.Value.(*conn).listedSince) {
+		oldest = t.awaitingBody
+	}
+	return t.evictOldest(oldest, minAge)
 }
 
 // evictOldest evicts the oldest connection that has been in a list for at least minAge, and reports whether there was one.
-// Connections that have unread bytes or were closed by the client are only removed from the list. The caller holds the
-// lock.
+// Idle connections that have unread bytes or were closed by the client are only removed from the list. The caller holds
+// the lock.
 func (t *connTable) evictOldest(l *list.List, minAge time.Duration) bool {
 	for e := l.Front(); e != nil; e = l.Front() {
 		c := e.Value.(*conn)
@@ -283,21 +179,29 @@
 			return false
 		}
 		t.removeFromList(c)
-		if !sockstat.OpenAndEmpty(c.Conn) { // its next request waits to be read, or the client has closed it
+		if l == t.idle && !sockstat.OpenAndEmpty(c.Conn) { // its next request waits to be read, or the client has closed it
 			continue
 		}
-		c.setEvicting(true)
-		if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil { // wakes the reader, which closes the connection
-			continue
+		if t.evict(c) {
+			return true
 		}
-		t.counters.Inc("clients.evicted")
-		return true
 	}
 	return false
 }
 
+// evict wakes the reader of a connection, which closes it unless a whole request has arrived, and reports whether the
+// connection was open. The caller holds the lock.
+func (t *connTable) evict(c *conn) bool {
+	c.setEvicting(true)
+	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	t.counters.Inc("clients.evicted")
+	return true
+}
+
 // evictInactive evicts the connections that have been idle for EvictIdleAfter and those that have sent no whole head for
-// EvictSilentAfter, unless unread bytes wait on them, and returns the number of open connections. A connection that was
+// EvictSilentAfter, unless a request has arrived on them, and returns the number of open connections. A connection that was
 // used a moment ago is spared, since its next request may well be under way; that request's answer closes it.
 func (t *connTable) evictInactive() (remaining int) {
 	t.mu.Lock()
@@ -309,11 +213,53 @@
 	return t.total
 }
 
+// reserveMemory takes bytes from the memory budget for a request that is arriving on a connection, and reports whether
+// there were as many. If memory is short, it evicts connections that hold memory for incomplete requests, one after the
+// other, the oldest first. It gives up when the request's own time is over, when its own connection is evicted, or when
+// only complete requests hold memory.
+func (t *connTable) reserveMemory(c *conn, bytes int) bool {
+	spare := t.limits.RequestMemory / answerMemoryPart
+	if t.memory.Reserve(bytes, spare) {
+		return true
+	}
+	t.counters.Inc("clients.memory_waits")
+	t.shortage.note("memory")
+	for t.evictForMemory(c) {
+		if t.memory.ReserveWithin(bytes, spare, memoryEvictionTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictForMemory evicts the oldest connection that holds memory for an incomplete request, unless one is being evicted
+// for that already, and reports whether it makes sense for a connection to wait for memory.
+func (t *connTable) evictForMemory(waiting *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if waiting.evicting || waiting.closed || !waiting.requestDeadline.IsZero() && time.Now().After(waiting.requestDeadline) {
+		return false
+	}
+	if victim := t.memoryVictim; victim != nil && victim.evicting && time.Since(t.memoryVictimSince) < memoryEvictionTime {
+		return true
+	}
+	for _, l := range []*list.List{t.awaitingBody, t.awaitingHead} {
+		for e := l.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*conn); c != waiting && c.reserved.Load()+c.bodyBytes.Load() > 0 {
+				t.removeFromList(c)
+				t.memoryVictim, t.memoryVictimSince = c, time.Now()
+				return t.evict(c)
+			}
+		}
+	}
+	return t.evictingCount > 0
+}
+
 // mustCloseAfterAnswer reports whether an answer has to close its connection: either more connections are open than the
-// node wants and none is idle, or a new connection has waited for a descriptor. On a busy machine, connections between
-// requests already have their next request waiting and cannot be evicted; if they were served forever, new connections
-// would stay in the backlog until their requests time out. Each close costs the client a new connection, which is more
-// expensive than the request, so only a few answers per wait close theirs.
+// node wants and none can make room, or a new connection has waited for a descriptor. On a busy machine, connections
+// between requests already have their next request waiting and cannot be evicted; if they were served forever, new
+// connections would stay in the backlog until their requests time out. Each close costs the client a new connection, which
+// is more expensive than the request, so only a few answers per wait close theirs.
 func (t *connTable) mustCloseAfterAnswer() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -321,7 +267,7 @@
 		t.pendingCloses--
 		return true
 	}
-	return t.total > t.limits.ClientConns-t.limits.SpareClientConns && t.idle.Len() == 0
+	return t.total > t.limits.ClientConns-t.limits.SpareClientConns && t.idle.Len() == 0 && !t.manyIncomplete()
 }
 
 // isFull reports whether there is no descriptor for another connection.
@@ -331,88 +277,27 @@
 	return t.total >= t.limits.ClientConns
 }
 
-// listener accepts connections from clients within the limit of descriptors and adds them to the table.
-type listener struct {
-	net.Listener
-	conns       *connTable
-	acceptUntil atomic.Pointer[time.Time] // nil: no limit; set: accept what is in the backlog, but nothing after this time
-}
-
-// errDrained is returned by Accept once the backlog is drained.
-var errDrained = errors.New("the listener accepts no more connections")
-
-// drainBacklog ends accepting once the backlog is empty, or after the timeout at the latest. The kernel has already
-// accepted the connections in the backlog; closing the listener would reset them and lose what their clients have sent.
-func (l *listener) drainBacklog(timeout time.Duration) {
-	until := time.Now().Add(timeout)
-	l.acceptUntil.Store(&until)
-	l.setAcceptDeadline(time.Now().Add(l.conns.limits.BacklogQuietTime))
-}
-
-// setAcceptDeadline makes a blocked Accept return by t, if necessary by closing the listener.
-func (l *listener) setAcceptDeadline(t time.Time) {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(t) != nil {
-		l.Listener.Close()
-	}
-}
-
-// isPastAcceptUntil reports whether acceptUntil has passed, so that no more is accepted even if connections still come.
-func (l *listener) isPastAcceptUntil() bool {
-	until := l.acceptUntil.Load()
-	return until != nil && time.Now().After(*until)
-}
-
-// Accept returns the next connection. Without a free descriptor, nothing could be accepted or forwarded, while the kernel
-// would go on filling the backlog. So Accept waits in short steps until an answer has closed its connection or an idle
-// connection can be evicted. The limit on open requests is low enough that such connections exist.
-func (l *listener) Accept() (net.Conn, error) {
-	for l.conns.isFull() && !l.isPastAcceptUntil() {
-		l.conns.counters.Inc("clients.accept_waits")
-		l.conns.shortage.note("descriptors")
-		l.conns.evictForRoom()
-		l.conns.setPendingCloses(l.conns.limits.ClosesPerAcceptWait)
-		l.conns.waitForClose()
-	}
-	l.conns.setPendingCloses(0)
-	for !l.isPastAcceptUntil() {
-		if l.acceptUntil.Load() != nil {
-			l.setAcceptDeadline(time.Now().Add(l.conns.limits.BacklogQuietTime))
-		}
-		nc, err := l.Listener.Accept()
-		switch {
-		case err == nil:
-			l.conns.counters.Inc("clients.connections")
-			c := &conn{Conn: nc, table: l.conns}
-			l.conns.mu.Lock()
-			l.conns.total++
-			l.conns.addToList(c, l.conns.awaitingHead)
-			l.conns.mu.Unlock()
-			l.conns.evictForRoom()
-			return c, nil
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
-			errors.Is(err, syscall.ENOMEM): // if this error were returned, net/http would pause for up to a second
-			l.conns.counters.Inc("clients.accept_short")
-			l.conns.evictForRoom()
-			l.conns.waitForClose()
-		case l.acceptUntil.Load() != nil:
-			return nil, errDrained
-		default:
-			return nil, err
-		}
+// askForCloses makes some of the next answers close their connections, because a new one waits for a descriptor; not if
+// connections that have not sent a whole request will make room.
+func (t *connTable) askForCloses() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pendingCloses = t.limits.ClosesPerAcceptWait
+	if t.manyIncomplete() {
+		t.pendingCloses = 0
 	}
-	return nil, errDrained
 }
 
-// setPendingCloses sets how many of the next answers have to close their connections to make room for new ones.
-func (t *connTable) setPendingCloses(answers int) {
+// stopCloses ends what askForCloses began.
+func (t *connTable) stopCloses() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pendingCloses = answers
+	t.pendingCloses = 0
 }
 
-// waitForClose waits until a connection has closed, for 2 ms at most.
-func (t *connTable) waitForClose() {
-	timer := time.NewTimer(2 * time.Millisecond)
+// waitForDescriptor waits until a descriptor is closed, for evictionWait at most.
+func (t *connTable) waitForDescriptor() {
+	timer := time.NewTimer(evictionWait)
 	defer timer.Stop()
 	select {
 	case <-t.descriptorFreed:
--- a/internal/clients/request.go
+++ b/internal/clients/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -191,18 +190,34 @@
 	return nil
 }
 
+// bodyChunk is the size up to which a body's memory is not reserved, and from which it grows as the body arrives.
+const bodyChunk = 1 << 10
+
 // readBody reads the whole body of a request. The length has been checked before, and the server's read timeout ends a body
-// that stalls.
-func (p *requestParser) readBody(r *http.Request) ([]byte, *requestError) {
+// that stalls. Memory is taken as the body arrives, not by the length that the client claims.
+func (p *requestParser) readBody(r *http.Request, reserve func(bytes int) bool) ([]byte, *requestError) {
 	if r.ContentLength <= 0 {
 		return nil, nil
 	}
-	body := make([]byte, r.ContentLength)
-	switch _, err := io.ReadFull(r.Body, body); {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &requestError{http.StatusRequestTimeout, "body came too slowly"}
-	case err != nil:
-		return nil, badRequest("body can't be read")
+	size := int(r.ContentLength)
+	body := make([]byte, 0, min(size, bodyChunk))
+	for len(body) < size {
+		if len(body) == cap(body) {
+			grown := min(size, 4*cap(body))
+			if !reserve(grown - cap(body)) {
+				return nil, &requestError{http.StatusServiceUnavailable, "no memory for the body"}
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) == size:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, &requestError{http.StatusRequestTimeout, "body came too slowly"}
+		case err != nil:
+			return nil, badRequest("body can't be read")
+		}
 	}
 	return body, nil
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -18,6 +18,7 @@
 
 	"merlinarch/internal/config"
 	"merlinarch/internal/exchange"
+	"merlinarch/internal/memory"
 	"merlinarch/internal/metrics"
 	"merlinarch/internal/sockstat"
 	"merlinarch/logic"
@@ -86,6 +87,9 @@
 	return srv
 }
 
+// UseMemory replaces the memory budget of requests by one that the server side shares; to be called before Serve.
+func (s *Server) UseMemory(budget *memory.Budget) { s.conns.memory = budget }
+
 // Serve accepts and serves connections until Drain. It may be called only once.
 func (s *Server) Serve(l net.Listener) error {
 	defer close(s.acceptDone)
@@ -154,11 +158,8 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connFrom returns the connection on which a request arrived, or nil.
-func connFrom(ctx context.Context) *conn {
-	c, _ := ctx.Value(connKey{}).(*conn)
-	return c
-}
+// connFrom returns the connection on which a request arrived.
+func connFrom(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
 
 // openIDs is the set of the ids of open requests.
 type openIDs struct {
@@ -186,6 +187,7 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := connFrom(r.Context())
 	if reqErr := checkFraming(r); reqErr != nil {
 		w.Header().Set("Connection", "close")
 		s.reject(w, reqErr)
@@ -201,19 +203,20 @@
 		return
 	}
 	s.counters.Inc("requests.taken")
-	atCapacity := s.openRequests.Add(1) > int64(s.limits.MaxHeld)
-	defer s.openRequests.Add(-1)
 	message, fields, wait, reqErr := s.parser.parseHead(r)
 	if reqErr == nil {
 		// The body is read even if the request is refused later: closing with unread bytes resets the connection, and the
 		// client may never see its answer.
-		message.Body, reqErr = s.parser.readBody(r)
+		message.Body, reqErr = s.parser.readBody(r, conn.reserveForBody)
+		defer conn.releaseBody()
 	}
+	atCapacity := s.openRequests.Add(1) > int64(s.limits.MaxHeld) // incomplete requests don't count
+	defer s.openRequests.Add(-1)
 	deadline := time.Now().Add(wait)
 	// The client's time runs from the arrival of the request's last byte. A connection's first request may have waited long
 	// in the kernel's backlog, and would otherwise be served after its client has given up.
-	if c := connFrom(r.Context()); c != nil && c.markFirstRequest() {
-		unread := sockstat.SinceReceived(c.Conn)
+	if conn.markFirstRequest() {
+		unread := sockstat.SinceReceived(conn.Conn)
 		s.counters.RecordMax("requests.worst_unread_us", unread)
 		deadline = deadline.Add(-unread)
 	}
@@ -303,10 +306,7 @@
 	}
 	ownAnswerTimer := time.NewTimer(time.Until(deadline) - ownMargin)
 	defer ownAnswerTimer.Stop()
-	clientGone, hangup := ctx.Done(), (<-chan struct{})(nil)
-	if c := connFrom(ctx); c != nil {
-		hangup = c.hangupSignal()
-	}
+	clientGone := ctx.Done()
 	for {
 		select {
 		case <-ex.Done():
@@ -315,12 +315,7 @@
 			s.counters.Inc("requests.client_left")
 			s.traceLeft(ex, "the connection ended")
 			s.gateway.Abandon(ex)
-			clientGone, hangup = nil, nil
-		case <-hangup:
-			s.counters.Inc("requests.client_left_unseen")
-			s.traceLeft(ex, "the connection ended behind unread bytes")
-			s.gateway.Abandon(ex)
-			clientGone, hangup = nil, nil
+			clientGone = nil
 		case <-ownAnswerTimer.C:
 			if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
 				s.counters.Inc("requests.answered_by_node")
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -14,10 +14,12 @@
 	MemoryBytes int64 // soft memory limit of the Go runtime
 	GCPercent   int   // growth of the heap between collections, as long as memory allows
 
-	MaxBody             int // bytes of a request's body; an answer's may be longer, within LongAnswerBudget
+	MaxBody             int // bytes of a request's body; an answer's may be longer
 	MaxAnswer           int // bytes of an answer's body
-	LongAnswerBudget    int // bytes that all answers longer than MaxBody may take together
 	MaxHead             int // bytes of the head of a request or an answer
+	MaxHeadFields       int // header fields of a request
+	RequestMemory       int // bytes that requests and answers may take together, beyond a small buffer for each connection
+	ReadAhead           int // bytes that are kept of what a client sends while its request is answered
 	MaxPlatformLine     int // bytes of a line from the release platform
 	MaxDiscoveryLine    int // bytes of a line from discovery
 	MaxDatagram         int // bytes of a message between routers
@@ -40,6 +42,7 @@
 	RequestReadTimeout      time.Duration // from connecting, or a later request's first byte, until a request is complete
 	ClientIdleTimeout       time.Duration // a client's connection idle for longer is closed
 	EvictSilentAfter        time.Duration // a client's connection whose first request's head has been awaited for less is not closed to make room
+	EvictIncompleteAfter    time.Duration // the same for one whose request is incomplete, while a new connection waits for a descriptor
 	WriteStallTimeout       time.Duration // a client that reads nothing is cut off after between half of this time and all of it
 	DialTimeout             time.Duration // for a connection to a server
 	ProbeTimeout            time.Duration // for a probe of a server
@@ -57,7 +60,6 @@
 	DrainCloseUntil         time.Duration // then it closes connections between requests, until this long after SIGTERM
 	DrainTimeout            time.Duration // then it waits at most this long for requests that it has accepted
 	KillAfter               time.Duration // time from SIGTERM after which the process may be killed at any moment
-	HangupPollInterval      time.Duration // between checks whether a client has closed a connection that still has unread bytes
 	Linger                  time.Duration // wait after a last answer for its client to close first; zero: close at once
 	LingerBytes             int64         // the most bytes read during Linger
 	BacklogQuietTime        time.Duration // during the drain, the backlog counts as empty once no connection has come from it for this long
@@ -72,7 +74,6 @@
 }
 
 const (
-	mebibyte            = 1 << 20
 	reservedDescriptors = 24        // for standard streams, poller, listeners, discovery, platform, and spare
 	maxRequestMemory    = 192 << 10 // bytes that a request takes at most: its body, answer, buffers and stacks
 	minMemoryMB         = 24
@@ -90,16 +91,17 @@
 		longestDeadline = max(longestDeadline, c.Deadline)
 	}
 	descriptors := resources.Sockets - reservedDescriptors
+	memory := NewMemory(resources.MemoryMB)
 	l := Limits{
-		Cores: max(1, int(resources.Cores)), MemoryBytes: int64(resources.MemoryMB) * mebibyte * 7 / 10, GCPercent: 400,
-		MaxBody: 64 << 10, MaxAnswer: min(2*mebibyte, resources.MemoryMB*mebibyte/16), LongAnswerBudget: resources.MemoryMB * mebibyte / 4,
-		MaxHead: 16 << 10, MaxPlatformLine: 8 << 10, MaxDiscoveryLine: 8 << 20, MaxDatagram: 256,
+		Cores: max(1, int(resources.Cores)), MemoryBytes: int64(memory.Runtime), GCPercent: 400,
+		MaxBody: 64 << 10, MaxAnswer: min(2*mebibyte, memory.Requests/4),
+		MaxHead: 16 << 10, MaxHeadFields: 100, ReadAhead: 8 << 10, RequestMemory: memory.Requests, MaxPlatformLine: 8 << 10, MaxDiscoveryLine: 8 << 20, MaxDatagram: 256,
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
 		MaxHeld:     resources.MemoryMB * mebibyte * 3 / 5 / maxRequestMemory,
-		ServerConns: descriptors / 5, ClientConns: descriptors - descriptors/5,
+		ServerConns: descriptors / 5, ClientConns: min(descriptors-descriptors/5, memory.ClientConns/clientConnBytes),
 		RetryAfter: s.MaxRetryAfter, EvictIdleAfter: 10 * time.Millisecond, MaxWait: 10 * max(longestDeadline, time.Second),
 		DecisionMargin: 140 * time.Millisecond, OwnAnswerMargin: 110 * time.Millisecond,
-		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond,
+		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictIncompleteAfter: 50 * time.Millisecond,
 		WriteStallTimeout: 10 * max(longestDeadline, time.Second),
 		DialTimeout:       resources.DialTimeout, ProbeTimeout: resources.DialTimeout, ServerIdleTimeout: s.ConnIdleTimeout * 9 / 10,
 		ServerReuseDelay: 20 * time.Millisecond, MinServerReuseDelay: 2 * time.Millisecond, AnswerReadTimeout: 400 * time.Millisecond,
@@ -108,9 +110,9 @@
 		VoteTimeout:        s.Rollout.VoteTimeout,
 		AddressChangeGrace: 1500 * time.Millisecond,
 		DrainDelay:         450 * time.Millisecond, DrainCloseUntil: 600 * time.Millisecond,
-		DrainTimeout:       max(longestDeadline, 3*time.Second) + 50*time.Millisecond,
-		KillAfter:          min(longestDeadline, 3*time.Second) + 700*time.Millisecond,
-		HangupPollInterval: 50 * time.Millisecond, Linger: 500 * time.Millisecond, LingerBytes: 256 << 10, BacklogQuietTime: 5 * time.Millisecond,
+		DrainTimeout: max(longestDeadline, 3*time.Second) + 50*time.Millisecond,
+		KillAfter:    min(longestDeadline, 3*time.Second) + 700*time.Millisecond,
+		Linger:       500 * time.Millisecond, LingerBytes: 256 << 10, BacklogQuietTime: 5 * time.Millisecond,
 	}
 	l.ClosesPerAcceptWait = 8
 	l.SpareClientConns, l.MaxIdlePerServer = l.ClientConns/8, max(2, l.ServerConns/4)
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -43,7 +43,8 @@
 		p.putIdle(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
-	r := p.execute(ctx, h, c, encodeRequest(a), a.Exchange.DispatchID)
+	text, body := encodeRequest(a)
+	r := p.execute(ctx, h, c, text, body, a.Exchange.DispatchID)
 	if r.Outcome == logic.OK || r.AnswerBegun {
 		p.recordAnswered(h, a)
 	}
@@ -72,10 +73,10 @@
 	}
 }
 
-// execute writes a request to a connection and waits for its answer. The outcome of a failure depends on the request's
+// execute writes a request, text and then body, to a connection and waits for its answer. The outcome of a failure depends on the request's
 // last byte: if the connection breaks before that is written, the request cannot have run; after it, it may have run.
 // dispatchID names the planned work that the request is for; it is empty for a client's request and for a probe.
-func (p *Pool) execute(ctx context.Context, h *host, c *conn, text []byte, dispatchID string) gateway.Result {
+func (p *Pool) execute(ctx context.Context, h *host, c *conn, text, body []byte, dispatchID string) gateway.Result {
 	var permit *accord.Permit
 	if p.Gate != nil {
 		var refused error
@@ -85,7 +86,7 @@
 			return gateway.Result{Outcome: logic.NotSent, NoLease: errors.Is(refused, accord.ErrNoLease)}
 		}
 	}
-	r, written, err := c.roundTrip(ctx, text, permit)
+	r, written, err := c.roundTrip(ctx, text, body, permit)
 	if err == nil && r.reusable {
 		p.putIdle(h, c)
 	} else {
@@ -140,11 +141,14 @@
 	}
 }
 
-// encodeRequest returns the bytes of an attempt's request. Method, target, id, idempotency key and body are the client's,
-// unchanged.
-func encodeRequest(a gateway.Attempt) []byte {
+// joinedBodyBytes is the size up to which a body is copied behind its head, so that one write sends both.
+const joinedBodyBytes = 2 << 10
+
+// encodeRequest returns the bytes of an attempt's request: the head, with a short body, and a longer body, which is not
+// copied. Method, target, id, idempotency key and body are the client's, unchanged.
+func encodeRequest(a gateway.Attempt) (text, body []byte) {
 	m := a.Exchange.Message
-	b := make([]byte, 0, 256+len(m.Target)+len(m.Body))
+	b := make([]byte, 0, 256+len(m.Target)+min(len(m.Body), joinedBodyBytes))
 	b = append(b, m.Method...)
 	b = append(b, ' ')
 	b = append(b, m.Target...)
@@ -160,7 +164,11 @@
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
 	}
-	return append(append(b, "\r\n\r\n"...), m.Body...)
+	b = append(b, "\r\n\r\n"...)
+	if len(m.Body) > joinedBodyBytes {
+		return b, m.Body
+	}
+	return append(b, m.Body...), nil
 }
 
 // Probe asks a server for its load and returns at once; report is called once with the result.
@@ -181,7 +189,7 @@
 	if c == nil {
 		return failure
 	}
-	r := p.execute(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+serviceHost+"\r\n\r\n"), "")
+	r := p.execute(ctx, h, c, []byte("GET "+pathLoad+" HTTP/1.1\r\nHost: "+serviceHost+"\r\n\r\n"), nil, "")
 	if r.Load == nil && r.Outcome == logic.OK {
 		r.Load = parseLoad(string(r.Body))
 	}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -59,15 +59,14 @@
 	return c.raw.SetReadDeadline(t)
 }
 
-// roundTrip writes a request and reads its answer, until ctx ends. It reports in written whether the request's last
-// byte was written. If permit is not nil, bytes are written only while it allows that.
-func (c *conn) roundTrip(ctx context.Context, text []byte, permit *accord.Permit) (r response, written bool, err error) {
+// roundTrip writes a request, text and then body, and reads its answer, until ctx ends. It reports in written whether the
+// request's last byte was written. If permit is not nil, bytes are written only while it allows that.
+func (c *conn) roundTrip(ctx context.Context, text, body []byte, permit *accord.Permit) (r response, written bool, err error) {
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	if permit == nil {
-		n, e := c.raw.Write(text)
-		written, err = n == len(text), e
+		written, err = c.write(text, body)
 	} else {
-		written, err = c.writeChecked(text, permit)
+		written, err = c.writeChecked(append(text, body...), permit)
 	}
 	if err == nil && written {
 		r, err = c.readFinal()
@@ -78,6 +77,15 @@
 	return r, written, err
 }
 
+// write writes a request, and reports whether its last byte was written.
+func (c *conn) write(text, body []byte) (written bool, err error) {
+	if _, err = c.raw.Write(text); err != nil || len(body) == 0 {
+		return err == nil, err
+	}
+	_, err = c.raw.Write(body)
+	return err == nil, err
+}
+
 // checkedWriteSize is the number of bytes written between two checks of the rules and the lease.
 const checkedWriteSize = 4 << 10
 
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -14,6 +14,7 @@
 	"merlinarch/internal/accord"
 	"merlinarch/internal/config"
 	"merlinarch/internal/gateway"
+	"merlinarch/internal/memory"
 	"merlinarch/internal/metrics"
 	"merlinarch/logic"
 )
@@ -32,12 +33,14 @@
 	// and this node's read lease on them. Nil means no check. It has to be set before the first attempt.
 	Gate *accord.Gate
 
-	limits     config.Limits
-	counters   *metrics.Registry
-	ctx        context.Context
-	stop       context.CancelFunc
-	work       sync.WaitGroup
-	bodyBudget *memoryBudget
+	// Memory limits the bodies of answers together with the requests of clients. It has to be set before the first attempt.
+	Memory *memory.Budget
+
+	limits   config.Limits
+	counters *metrics.Registry
+	ctx      context.Context
+	stop     context.CancelFunc
+	work     sync.WaitGroup
 
 	mu          sync.Mutex
 	hosts       map[logic.ServerID]*host
@@ -58,7 +61,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pool{limits: limits, counters: counters, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
 		cancelledAt: map[logic.BuildID]time.Time{}, keyBuilds: map[uint64]keyBuild{},
-		bodyBudget: &memoryBudget{available: limits.LongAnswerBudget}}
+		Memory: memory.NewBudget(limits.RequestMemory)}
 	p.work.Go(p.expireLoop)
 	return p
 }
@@ -321,7 +324,7 @@
 		return nil, err
 	}
 	p.counters.Inc("connections.opened")
-	return newConn(raw, responseLimits{p.limits.MaxHead, p.limits.MaxAnswer, p.bodyBudget, p.limits.AnswerReadTimeout}), nil
+	return newConn(raw, responseLimits{p.limits.MaxHead, p.limits.MaxAnswer, p.Memory, p.limits.AnswerReadTimeout}), nil
 }
 
 // expireLoop closes idle connections before the hosts' own idle timeout does, and those that a host has closed or sent
--- a/internal/servers/room.go
+++ b/internal/servers/room.go
@@ -1,46 +1,52 @@
 package servers
 
-import "sync"
+import (
+	"time"
 
-// memoryBudget limits the memory that all long answers take together. Without it, hosts that send long answers to many
-// requests at once could make the node run out of memory and lose everything that it holds. The cost is that, while
-// the budget is used up, further long answers are given up.
-type memoryBudget struct {
-	mu        sync.Mutex
-	available int // bytes
-}
+	"merlinarch/internal/memory"
+)
 
-// newAllocation returns the empty allocation of one answer. From a nil budget nothing can be allocated.
-func (b *memoryBudget) newAllocation() *allocation { return &allocation{budget: b} }
+const (
+	// freeAnswerBytes is the size up to which an answer's body takes nothing of the memory budget.
+	freeAnswerBytes = 4 << 10
+	// answerMemoryTimeout is how long an answer waits for memory, less than the time within which the rest of it is due.
+	answerMemoryTimeout = 200 * time.Millisecond
+)
 
-// allocation is the part of the budget that one answer takes.
+// allocation is the buffer of one answer's body, and what it takes of the memory budget. Without the budget, hosts that
+// send long answers to many requests at once, or clients that don't read them, could make the node run out of memory
+// and lose everything that it holds.
 type allocation struct {
-	budget *memoryBudget
-	size   int // bytes
+	budget *memory.Budget
+	size   int // bytes taken of the budget
+	body   []byte
 }
 
-// growTo enlarges the allocation to n bytes in total and reports whether the budget allows it.
-func (a *allocation) growTo(n int) bool {
-	if a.budget == nil {
-		return false
+// grow makes room for size bytes in all, and reports whether the budget allows it.
+func (a *allocation) grow(size int) bool {
+	if size <= cap(a.body) {
+		return true
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	if n-a.size > a.budget.available {
-		return false
+	larger := memory.Buffer(size)
+	if more := cap(larger) - max(cap(a.body), freeAnswerBytes); more > 0 {
+		if a.budget == nil || !a.budget.ReserveWithin(more, 0, answerMemoryTimeout) {
+			memory.Recycle(larger)
+			return false
+		}
+		a.size += more
 	}
-	a.budget.available -= n - a.size
-	a.size = n
+	old := a.body
+	a.body = append(larger, old...)
+	memory.Recycle(old)
 	return true
 }
 
-// free returns the whole allocation to the budget. Further calls do nothing.
+// free returns the buffer and what it takes of the budget. Further calls do nothing.
 func (a *allocation) free() {
-	if a == nil || a.size == 0 {
+	if a == nil || a.body == nil {
 		return
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.budget.available += a.size
-	a.size = 0
+	a.budget.Release(a.size)
+	memory.Recycle(a.body)
+	a.body, a.size = nil, 0
 }
