--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"merlinarch/internal/sockstat"
 )
 
 const (
@@ -41,15 +43,17 @@
 	lastRead      bool        // its time is over: only what has already arrived is read
 	writeDeadline time.Time   // the current write deadline
 	hadRequest    bool        // a request has been received
+	pipelined     bool        // the present request had begun to arrive before the last answer was written
 
 	// The fields below are guarded by table.mu.
 	listElement     *list.Element // the position in one of the table's lists; nil: in none
 	inList          *list.List    // the list that it is in; nil: none
 	listedSince     time.Time     // when it was added to the list
 	closed          bool
-	evicting        bool      // to be closed unless a whole request has arrived
-	answering       bool      // a request head has been read and its answer is not yet written
-	requestDeadline time.Time // when the request that is arriving has to be complete; zero: none is arriving
+	evicting        bool          // to be closed unless a whole request has arrived
+	answering       bool          // a request head has been read and its answer is not yet written
+	requestDeadline time.Time     // when the request that is arriving has to be complete; zero: none is arriving
+	hangup          chan struct{} // for the request being answered: closed when net/http can't detect that its client hangs up
 }
 
 // Read passes bytes to net/http, as described at conn.
@@ -92,7 +96,7 @@
 // awaitHead waits until the whole head of the next request has arrived, and checks it. An invalid head is answered here.
 func (c *conn) awaitHead() error {
 	c.scanner = headScanner{maxFields: c.table.limits.MaxHeadFields, maxBytes: c.table.limits.MaxHead}
-	if len(c.received) > 0 {
+	if c.pipelined = len(c.received) > 0; c.pipelined {
 		c.beginHead()
 	}
 	for {
@@ -162,10 +166,12 @@
 }
 
 // readAhead is the read by which net/http notices the end of a connection while its request is being answered. Bytes that
-// come meanwhile are kept for the next request, as far as ReadAhead and the memory budget allow.
+// come meanwhile are kept for the next request. Where more come than may be kept, the end of the connection can't be seen
+// any more, as it is behind them; then the client counts as gone, and nothing more is sent for its request.
 func (c *conn) readAhead(b []byte) (int, error) {
 	for {
 		if len(c.received) > 0 && (len(c.received) >= c.table.limits.ReadAhead || !c.growBuffer(c.table.limits.ReadAhead, c.reserveAhead)) {
+			c.signalHangup()
 			b[0] = c.received[0] // net/http puts it in front of what it reads next
 			c.consume(1)
 			return 1, nil
@@ -188,6 +194,17 @@
 	}
 }
 
+// signalHangup reports that the client of the present request counts as gone.
+func (c *conn) signalHangup() {
+	c.table.counters.Inc("clients.read_ahead_full")
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.hangup != nil {
+		close(c.hangup)
+		c.hangup = nil
+	}
+}
+
 // receive reads from the kernel. When the deadline has passed it reads once more, since bytes that arrived before it are
 // otherwise lost.
 func (c *conn) receive(b []byte) (int, error) {
@@ -250,6 +267,18 @@
 	}
 }
 
+// hangupSignal returns the channel that is closed if the client of the current request hangs up and net/http cannot
+// detect it.
+func (c *conn) hangupSignal() <-chan struct{} {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.hangup
+}
+
+// clientLeft reports whether the client has closed the connection behind a request that it sent together with others, so
+// that the request was read long after the close.
+func (c *conn) clientLeft() bool { return c.pipelined && sockstat.PeerClosed(c.Conn) }
+
 // SetReadDeadline sets net/http's deadlines, but not beyond the one of a request that is arriving. On a connection that is
 // marked for eviction it does nothing: net/http could replace the deadline that wakes its reader, and the connection would
 // count as being evicted but stay open, and no other would be evicted in its place.
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -119,9 +119,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.answering = to == http.StateActive; c.answering {
+		c.hangup = make(chan struct{})
 		return
 	}
-	c.requestDeadline = time.Time{}
+	c.hangup, c.requestDeadline = nil, time.Time{}
 	t.removeFromList(c)
 	if len(c.received) > 0 {
 		t.addToList(c, t.awaitingHead)
--- a/internal/clients/ends_test.go
+++ b/internal/clients/ends_test.go
@@ -397,3 +397,48 @@
 		gateway.unready.Store(false)
 	}
 }
+
+// A client that sends more behind its request than is read ahead counts as gone, since the end of its connection can't be
+// seen: nothing more is sent for the request, but an attempt under way may still answer it. Its further requests are
+// answered as well.
+func TestClientBehindManyBytesCountsAsGone(t *testing.T) {
+	limits := testLimits()
+	gateway := &stubGateway{}
+	addr, _, counters := startServer(t, limits, gateway)
+	c := dial(t, addr)
+	const further = 100
+	c.write(get() + strings.Repeat(get("X-Remaining-Ms: 60"), further))
+	testwait.Until(t, "the request to be abandoned", func() bool { _, abandoned := gateway.calls(); return abandoned > 0 })
+	serveOK(gateway.submitted[0])
+	for i := range 1 + further {
+		want := 504
+		if i == 0 {
+			want = 200
+		}
+		if resp, _ := c.read(); resp.StatusCode != want && resp.StatusCode != http.StatusConflict {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+	}
+	if counters.Get("clients.read_ahead_full") == 0 {
+		t.Error("the full buffer is not counted")
+	}
+}
+
+// A request that was sent together with another one is not submitted once its client has closed the connection.
+func TestPipelinedRequestOfClientThatLeft(t *testing.T) {
+	gateway := &stubGateway{}
+	addr, s, counters := startServer(t, testLimits(), gateway)
+	c := dial(t, addr)
+	c.write(get() + get() + get())
+	testwait.Until(t, "the request", func() bool { n, _ := gateway.calls(); return n == 1 })
+	c.Close()
+	testwait.Until(t, "the request to be abandoned", func() bool { _, abandoned := gateway.calls(); return abandoned == 1 })
+	gateway.submitted[0].Finish(exchange.Answer{Status: exchange.Failed})
+	testwait.Until(t, "the connection to close", func() bool { s.conns.mu.Lock(); defer s.conns.mu.Unlock(); return s.conns.total == 0 })
+	if n, _ := gateway.calls(); n != 1 {
+		t.Errorf("%d requests were submitted, want 1", n)
+	}
+	if counters.Get("requests.client_left") == 0 {
+		t.Error("the hangup is not counted")
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -301,12 +301,18 @@
 func (s *Server) awaitAnswer(ctx context.Context, message exchange.Message, fields exchange.Fields, deadline time.Time) exchange.Answer {
 	decisionMargin, ownMargin := s.limits.Margins(time.Until(deadline))
 	ex := exchange.New(message, fields, deadline.Add(-decisionMargin))
+	// A request that its client sent together with others is read late: the client may have left long ago.
+	if ctx.Err() != nil || connFrom(ctx).clientLeft() {
+		s.counters.Inc("requests.client_left")
+		s.traceLeft(ex, "the connection ended before it was read")
+		return exchange.Answer{Status: exchange.Failed}
+	}
 	if err := s.gateway.Submit(ex); err != nil {
 		return exchange.Answer{Status: exchange.Refused} // nothing was sent for the request
 	}
 	ownAnswerTimer := time.NewTimer(time.Until(deadline) - ownMargin)
 	defer ownAnswerTimer.Stop()
-	clientGone := ctx.Done()
+	clientGone, hangup := ctx.Done(), connFrom(ctx).hangupSignal()
 	for {
 		select {
 		case <-ex.Done():
@@ -315,7 +321,12 @@
 			s.counters.Inc("requests.client_left")
 			s.traceLeft(ex, "the connection ended")
 			s.gateway.Abandon(ex)
-			clientGone = nil
+			clientGone, hangup = nil, nil
+		case <-hangup:
+			s.counters.Inc("requests.client_left_unseen")
+			s.traceLeft(ex, "its end can't be seen behind unread bytes")
+			s.gateway.Abandon(ex)
+			clientGone, hangup = nil, nil
 		case <-ownAnswerTimer.C:
 			if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
 				s.counters.Inc("requests.answered_by_node")
