--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,8 @@
 	baseBuffer = 1 << 10
 	// lastReadTime is how long a connection whose time is over is read once more, for bytes that have already arrived.
 	lastReadTime = time.Millisecond
+	// lateReadTime is the time after its last byte from which a request counts as read late.
+	lateReadTime = 50 * time.Millisecond
 	// firstRequestGrace is the least time that a connection's first request has from its first byte. Clients are owed an
 	// error or a close within 3 s of connecting, so what begins late has less than RequestReadTimeout.
 	firstRequestGrace = 500 * time.Millisecond
@@ -275,9 +278,15 @@
 	return c.hangup
 }
 
-// clientLeft reports whether the client has closed the connection behind a request that it sent together with others, so
-// that the request was read long after the close.
-func (c *conn) clientLeft() bool { return c.pipelined && sockstat.PeerClosed(c.Conn) }
+// clientLeft reports whether the client has closed the connection before its request was read, which was late: it had
+// waited in the kernel, or was sent together with others. A client that closes only its sending side right behind its
+// request does not count.
+func (c *conn) clientLeft(ctx context.Context) bool {
+	if c.pipelined && ctx.Err() != nil {
+		return true
+	}
+	return (c.pipelined || sockstat.SinceReceived(c.Conn) >= lateReadTime) && sockstat.PeerClosed(c.Conn)
+}
 
 // SetReadDeadline sets net/http's deadlines, but not beyond the one of a request that is arriving. On a connection that is
 // marked for eviction it does nothing: net/http could replace the deadline that wakes its reader, and the connection would
--- a/internal/clients/ends_test.go
+++ b/internal/clients/ends_test.go
@@ -442,3 +442,33 @@
 		t.Error("the hangup is not counted")
 	}
 }
+
+// A request that is read late, since it waited in the kernel, is not submitted if its client has closed the connection
+// meanwhile. One that is read late from a client that stays is.
+func TestLateReadRequestOfClientThatLeft(t *testing.T) {
+	for _, stays := range []bool{false, true} {
+		gateway := &stubGateway{onSubmit: serveOK}
+		s := New(testLimits(), testSettings, gateway, metrics.New(), zap.NewNop())
+		holding := startHolding(t, s)
+		release := holding.holdReads()
+		c := dial(t, holding.Addr().String())
+		c.write(get())
+		if !stays {
+			c.Close()
+		}
+		time.Sleep(2 * lateReadTime)
+		release()
+		if stays {
+			c.read()
+			c.Close()
+		}
+		testwait.Until(t, "the connection to close", func() bool {
+			s.conns.mu.Lock()
+			defer s.conns.mu.Unlock()
+			return s.conns.total == 0 && s.counters.Get("clients.connections") == 1
+		})
+		if n, _ := gateway.calls(); stays != (n == 1) {
+			t.Errorf("client stays %v: %d requests were submitted", stays, n)
+		}
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +64,7 @@
 	http         *http.Server
 	conns        *connTable
 	openRequests atomic.Int64
-	ids          openIDs
+	ids          *requestIDs
 
 	closeAfterAnswers atomic.Bool               // set while draining: every answer closes its connection
 	answerBy          atomic.Pointer[time.Time] // latest deadline of requests that arrive now; nil: only the client's own
@@ -76,7 +75,7 @@
 // New returns a server that Serve starts.
 func New(limits config.Limits, settings logic.Settings, gateway Gateway, counters *metrics.Registry, log *zap.Logger) *Server {
 	srv := &Server{limits: limits, parser: newRequestParser(limits, settings), gateway: gateway, counters: counters, log: log, tracing: log.Core().Enabled(zap.DebugLevel),
-		conns: newConnTable(limits, counters, log), ids: openIDs{open: map[string]struct{}{}}, acceptDone: make(chan struct{})}
+		conns: newConnTable(limits, counters, log), ids: newRequestIDs(limits.MaxWait), acceptDone: make(chan struct{})}
 	errorLog, _ := zap.NewStdLogAt(log, zap.DebugLevel) // fails only for an unknown level
 	// Without these timeouts, a client that sends nothing, or only part of a head or body, would hold a descriptor forever.
 	// ReadTimeout runs from the start of the connection, or from the first byte of a later request, until the request has
@@ -161,30 +160,6 @@
 // connFrom returns the connection on which a request arrived.
 func connFrom(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
 
-// openIDs is the set of the ids of open requests.
-type openIDs struct {
-	mu   sync.Mutex
-	open map[string]struct{}
-}
-
-// claim adds an id, and reports false if an open request already has it.
-func (o *openIDs) claim(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	_, taken := o.open[id]
-	if !taken {
-		o.open[id] = struct{}{}
-	}
-	return !taken
-}
-
-// release removes an id.
-func (o *openIDs) release(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.open, id)
-}
-
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connFrom(r.Context())
@@ -255,15 +230,15 @@
 		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
 		return
 	}
-	// Two open requests with the same id would be taken for one request sent twice. The first goes on; the id may be used
-	// again once its request has ended.
+	// Two requests with the same id would be taken for one request sent twice. The first goes on; the id may be used again
+	// once its request has ended, unless nobody knows how it did.
 	if !s.ids.claim(message.ID) {
-		s.reject(w, &requestError{http.StatusConflict, "a request with this id is open"})
+		s.reject(w, &requestError{http.StatusConflict, "a request with this id is open, or may run"})
 		return
 	}
-	answer := s.awaitAnswer(r.Context(), message, fields, deadline)
+	answer, mayRun := s.awaitAnswer(r.Context(), message, fields, deadline)
 	defer answer.Release()
-	s.ids.release(message.ID)
+	s.ids.release(message.ID, mayRun)
 	s.recordAndAnswer(w, message.ID, fields, answer, deadline)
 }
 
@@ -297,18 +272,18 @@
 }
 
 // awaitAnswer submits a request to the gateway and returns the final answer. If a host, the event loop or the decisions
-// hang, the node itself answers with a timeout shortly before the deadline.
-func (s *Server) awaitAnswer(ctx context.Context, message exchange.Message, fields exchange.Fields, deadline time.Time) exchange.Answer {
+// hang, the node itself answers with a timeout shortly before the deadline. It reports in mayRun whether the request was
+// sent to a host and then given up, so that it may run or have run although its client was not told.
+func (s *Server) awaitAnswer(ctx context.Context, message exchange.Message, fields exchange.Fields, deadline time.Time) (answer exchange.Answer, mayRun bool) {
 	decisionMargin, ownMargin := s.limits.Margins(time.Until(deadline))
 	ex := exchange.New(message, fields, deadline.Add(-decisionMargin))
-	// A request that its client sent together with others is read late: the client may have left long ago.
-	if ctx.Err() != nil || connFrom(ctx).clientLeft() {
+	if connFrom(ctx).clientLeft(ctx) {
 		s.counters.Inc("requests.client_left")
 		s.traceLeft(ex, "the connection ended before it was read")
-		return exchange.Answer{Status: exchange.Failed}
+		return exchange.Answer{Status: exchange.Failed}, false
 	}
 	if err := s.gateway.Submit(ex); err != nil {
-		return exchange.Answer{Status: exchange.Refused} // nothing was sent for the request
+		return exchange.Answer{Status: exchange.Refused}, false // nothing was sent for the request
 	}
 	ownAnswerTimer := time.NewTimer(time.Until(deadline) - ownMargin)
 	defer ownAnswerTimer.Stop()
@@ -316,7 +291,7 @@
 	for {
 		select {
 		case <-ex.Done():
-			return ex.Answer()
+			return ex.Answer(), ex.Abandoned() && ex.Sent()
 		case <-clientGone:
 			s.counters.Inc("requests.client_left")
 			s.traceLeft(ex, "the connection ended")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,6 +57,7 @@
 	DispatchID string    // id of the dispatch (planned work under the agreed rules) that it carries out; empty: a client's request
 
 	abandoned atomic.Bool
+	sent      atomic.Bool
 
 	mu     sync.Mutex
 	ended  bool
@@ -88,6 +89,12 @@
 // Abandoned reports whether nobody waits for the answer any more.
 func (e *Exchange) Abandoned() bool { return e.abandoned.Load() }
 
+// MarkSent records that an attempt is about to be written to a host.
+func (e *Exchange) MarkSent() { e.sent.Store(true) }
+
+// Sent reports whether an attempt may have been written to a host.
+func (e *Exchange) Sent() bool { return e.sent.Load() }
+
 // Release frees the memory that the answer's body holds.
 func (a Answer) Release() {
 	if a.FreeBody != nil {
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -43,6 +43,7 @@
 		p.putIdle(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
+	a.Exchange.MarkSent()
 	text, body := encodeRequest(a)
 	r := p.execute(ctx, h, c, text, body, a.Exchange.DispatchID)
 	if r.Outcome == logic.OK || r.AnswerBegun {
