--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"merlinarch/internal/sockstat"
 )
 
@@ -20,6 +22,9 @@
 	baseBuffer = 1 << 10
 	// lastReadTime is how long a connection whose time is over is read once more, for bytes that have already arrived.
 	lastReadTime = time.Millisecond
+	// A connection may send this many requests at once, and this many a second, that are not served by a host. Further ones
+	// wait before they are read, since they cost as much time of the processor as those that are served.
+	unservedBurst, unservedPerSecond = 50, 100
 	// lateReadTime is the time after its last byte from which a request counts as read late.
 	lateReadTime = 50 * time.Millisecond
 	// firstRequestGrace is the least time that a connection's first request has from its first byte. Clients are owed an
@@ -47,6 +52,8 @@
 	writeDeadline time.Time   // the current write deadline
 	hadRequest    bool        // a request has been received
 	pipelined     bool        // the present request had begun to arrive before the last answer was written
+	unserved      *rate.Limiter
+	pause         time.Duration // before the next head is read
 
 	// The fields below are guarded by table.mu.
 	listElement     *list.Element // the position in one of the table's lists; nil: in none
@@ -98,6 +105,10 @@
 
 // awaitHead waits until the whole head of the next request has arrived, and checks it. An invalid head is answered here.
 func (c *conn) awaitHead() error {
+	if c.pause > 0 {
+		time.Sleep(c.pause)
+		c.pause = 0
+	}
 	c.scanner = headScanner{maxFields: c.table.limits.MaxHeadFields, maxBytes: c.table.limits.MaxHead}
 	if c.pipelined = len(c.received) > 0; c.pipelined {
 		c.beginHead()
@@ -288,6 +299,16 @@
 	return (c.pipelined || sockstat.SinceReceived(c.Conn) >= lateReadTime) && sockstat.PeerClosed(c.Conn)
 }
 
+// countUnserved counts a request that no host has served. If there are too many, the next one is read later.
+func (c *conn) countUnserved() {
+	if c.unserved == nil {
+		c.unserved = rate.NewLimiter(unservedPerSecond, unservedBurst)
+	}
+	if c.pause = c.unserved.Reserve().Delay(); c.pause > 0 {
+		c.table.counters.Inc("clients.slowed_down")
+	}
+}
+
 // SetReadDeadline sets net/http's deadlines, but not beyond the one of a request that is arriving. On a connection that is
 // marked for eviction it does nothing: net/http could replace the deadline that wakes its reader, and the connection would
 // count as being evicted but stay open, and no other would be evicted in its place.
--- a/internal/clients/head_test.go
+++ b/internal/clients/head_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // The scanner finds the end of a head and the size of its body, whatever the pieces in which the head arrives, and rejects
@@ -141,3 +142,33 @@
 		t.Errorf("%d bytes of memory are free at the end, want %d", free, limits.RequestMemory)
 	}
 }
+
+// Requests that no host serves are read more slowly after unservedBurst of them; served ones are not, and every request is
+// answered.
+func TestUnservedRequestsAreSlowedDown(t *testing.T) {
+	gateway := &stubGateway{onSubmit: serveOK}
+	addr, _, counters := startServer(t, testLimits(), gateway)
+	c := dial(t, addr)
+	for range 2 * unservedBurst {
+		c.write(get())
+		c.read()
+	}
+	if counters.Get("clients.slowed_down") != 0 {
+		t.Error("served requests were slowed down")
+	}
+	began := time.Now()
+	const unserved = unservedBurst + 20
+	for range unserved {
+		c.write(strings.Replace(get(), "/api", "/other", 1))
+		if resp, _ := c.read(); resp.StatusCode != 404 {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	least := time.Duration(unserved-unservedBurst-1) * time.Second / unservedPerSecond
+	if elapsed := time.Since(began); elapsed < least {
+		t.Errorf("%d requests took %v, want at least %v", unserved, elapsed, least)
+	}
+	if counters.Get("clients.slowed_down") == 0 {
+		t.Error("slowing down is not counted")
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -162,102 +162,136 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn := connFrom(r.Context())
+	if conn := connFrom(r.Context()); !s.serveRequest(w, r, conn) {
+		conn.countUnserved()
+	}
+}
+
+// serveRequest answers one request, and reports whether a host has served it.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *conn) (served bool) {
 	if reqErr := checkFraming(r); reqErr != nil {
 		w.Header().Set("Connection", "close")
 		s.reject(w, reqErr)
-		return
+		return false
 	}
-	noLease := s.LeaseGate != nil && s.LeaseGate.Refusing()
 	if r.URL.Path == pathReady {
-		status := http.StatusOK
-		if noLease || !s.gateway.Ready() {
-			status = http.StatusServiceUnavailable
-		}
-		s.writeResponse(w, status, nil)
-		return
+		s.answerReady(w)
+		return false
 	}
 	s.counters.Inc("requests.taken")
-	message, fields, wait, reqErr := s.parser.parseHead(r)
-	if reqErr == nil {
-		// The body is read even if the request is refused later: closing with unread bytes resets the connection, and the
-		// client may never see its answer.
-		message.Body, reqErr = s.parser.readBody(r, conn.reserveForBody)
-		defer conn.releaseBody()
-	}
-	atCapacity := s.openRequests.Add(1) > int64(s.limits.MaxHeld) // incomplete requests don't count
+	defer conn.releaseBody()
+	req, reqErr := s.readRequest(r, conn)
+	openRequests := s.openRequests.Add(1) // incomplete requests don't count
 	defer s.openRequests.Add(-1)
-	deadline := time.Now().Add(wait)
-	// The client's time runs from the arrival of the request's last byte. A connection's first request may have waited long
-	// in the kernel's backlog, and would otherwise be served after its client has given up.
-	if conn.markFirstRequest() {
-		unread := sockstat.SinceReceived(conn.Conn)
-		s.counters.RecordMax("requests.worst_unread_us", unread)
-		deadline = deadline.Add(-unread)
-	}
 	if reqErr != nil {
-		if reqErr.status == http.StatusRequestTimeout {
-			w.Header().Set("Connection", "close")
+		if reqErr.status == http.StatusRequestTimeout || reqErr.status == http.StatusServiceUnavailable {
+			w.Header().Set("Connection", "close") // a part of the body is still to come
 		}
 		s.reject(w, reqErr)
-		return
+		return false
 	}
 	if s.conns.mustCloseAfterAnswer() {
 		w.Header().Set("Connection", "close")
 	}
-	if answerBy := s.answerBy.Load(); answerBy != nil && deadline.After(*answerBy) {
-		deadline = *answerBy
-	}
-	if !deadline.After(time.Now()) {
-		s.counters.Inc("requests.over_when_read")
-		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.TimedOut}, deadline)
-		return
-	}
-	if s.UsageRecorder != nil && s.UsageRecorder.Refusing() {
+	inTime := req.deadline.After(time.Now())
+	if inTime && s.UsageRecorder != nil && s.UsageRecorder.Refusing() { // the refusal could not be recorded either
 		s.counters.Inc("requests.refused_uncountable")
 		s.writeAnswer(w, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter})
-		return
-	}
-	if noLease { // refused at once instead of waiting for a lease
-		s.counters.Inc("requests.refused_without_lease")
-		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
-		return
+		return false
 	}
-	if atCapacity {
-		// Without this limit, the node could run out of memory or descriptors, crash and lose every open request. Nothing has
-		// been sent for this request, so it can be refused whatever its class.
-		s.counters.Inc("requests.refused_full")
-		s.recordAndAnswer(w, message.ID, fields, exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}, deadline)
-		return
+	if answer, unsent := s.answerUnsent(inTime, openRequests); unsent {
+		s.recordAndAnswer(w, req, answer)
+		return false
 	}
 	// Two requests with the same id would be taken for one request sent twice. The first goes on; the id may be used again
 	// once its request has ended, unless nobody knows how it did.
-	if !s.ids.claim(message.ID) {
+	if !s.ids.claim(req.message.ID) {
 		s.reject(w, &requestError{http.StatusConflict, "a request with this id is open, or may run"})
-		return
+		return false
 	}
-	answer, mayRun := s.awaitAnswer(r.Context(), message, fields, deadline)
+	answer, mayRun := s.awaitAnswer(r.Context(), req)
 	defer answer.Release()
-	s.ids.release(message.ID, mayRun)
-	s.recordAndAnswer(w, message.ID, fields, answer, deadline)
+	s.ids.release(req.message.ID, mayRun)
+	s.recordAndAnswer(w, req, answer)
+	return answer.Status == exchange.Served
+}
+
+// answerReady answers the readiness check of the clients' front.
+func (s *Server) answerReady(w http.ResponseWriter) {
+	status := http.StatusOK
+	if s.lacksLease() || !s.gateway.Ready() {
+		status = http.StatusServiceUnavailable
+	}
+	s.writeResponse(w, status, nil)
+}
+
+// lacksLease reports whether new requests have to be refused for want of a lease.
+func (s *Server) lacksLease() bool { return s.LeaseGate != nil && s.LeaseGate.Refusing() }
+
+// clientRequest is a whole and valid request.
+type clientRequest struct {
+	message  exchange.Message
+	fields   exchange.Fields
+	deadline time.Time
+}
+
+// readRequest reads and checks a request. Its body is read even if the request is refused later: closing with unread bytes
+// resets the connection, and the client may never see its answer.
+func (s *Server) readRequest(r *http.Request, conn *conn) (req clientRequest, reqErr *requestError) {
+	var wait time.Duration
+	req.message, req.fields, wait, reqErr = s.parser.parseHead(r)
+	if reqErr == nil {
+		req.message.Body, reqErr = s.parser.readBody(r, conn.reserveForBody)
+	}
+	req.deadline = time.Now().Add(wait)
+	// The client's time runs from the arrival of the request's last byte. A connection's first request may have waited long
+	// in the kernel's backlog, and would otherwise be served after its client has given up.
+	if conn.markFirstRequest() {
+		unread := sockstat.SinceReceived(conn.Conn)
+		s.counters.RecordMax("requests.worst_unread_us", unread)
+		req.deadline = req.deadline.Add(-unread)
+	}
+	if answerBy := s.answerBy.Load(); answerBy != nil && req.deadline.After(*answerBy) {
+		req.deadline = *answerBy
+	}
+	return req, reqErr
+}
+
+// answerUnsent returns the answer to a request that is not handed to the gateway, and false if it is to be. Nothing is sent
+// for such a request, so that it can be refused whatever its class.
+func (s *Server) answerUnsent(inTime bool, openRequests int64) (answer exchange.Answer, unsent bool) {
+	refused := exchange.Answer{Status: exchange.Refused, RetryAfter: s.limits.RetryAfter}
+	switch {
+	case !inTime:
+		s.counters.Inc("requests.over_when_read")
+		return exchange.Answer{Status: exchange.TimedOut}, true
+	case s.lacksLease(): // refused at once instead of waiting for a lease
+		s.counters.Inc("requests.refused_without_lease")
+		return refused, true
+	case openRequests > int64(s.limits.MaxHeld):
+		// Without this limit, the node could run out of memory or descriptors, crash and lose every open request.
+		s.counters.Inc("requests.refused_full")
+		return refused, true
+	}
+	return answer, false
 }
 
 // recordAndAnswer records the use of a final answer, if there is a recorder, and writes the answer. An answer that a client
 // has received must still be counted after a crash, so its use is made durable first. The wait for that is bounded, so
 // that a slow disk does not make the answer late.
-func (s *Server) recordAndAnswer(w http.ResponseWriter, id string, fields exchange.Fields, answer exchange.Answer, deadline time.Time) {
+func (s *Server) recordAndAnswer(w http.ResponseWriter, req clientRequest, answer exchange.Answer) {
 	if s.tracing {
-		s.log.Debug("request answered", zap.String("id", id), zap.String("class", fields.Class), zap.Int("status", int(answer.Status)),
-			zap.Int("attempts", answer.Attempts), zap.Duration("time_left", time.Until(deadline)))
+		s.log.Debug("request answered", zap.String("id", req.message.ID), zap.String("class", req.fields.Class),
+			zap.Int("status", int(answer.Status)), zap.Int("attempts", answer.Attempts), zap.Duration("time_left", time.Until(req.deadline)))
 	}
 	if s.UsageRecorder == nil {
 		s.writeAnswer(w, answer)
 		return
 	}
-	_, ownMargin := s.limits.Margins(time.Until(deadline))
-	ctx, stop := context.WithDeadline(context.Background(), deadline.Add(-ownMargin/2))
+	_, ownMargin := s.limits.Margins(time.Until(req.deadline))
+	ctx, stop := context.WithDeadline(context.Background(), req.deadline.Add(-ownMargin/2))
 	defer stop()
-	written := s.UsageRecorder.Count(ctx, fields, answer)
+	written := s.UsageRecorder.Count(ctx, req.fields, answer)
 	s.writeAnswer(w, answer)
 	written()
 }
@@ -274,9 +308,9 @@
 // awaitAnswer submits a request to the gateway and returns the final answer. If a host, the event loop or the decisions
 // hang, the node itself answers with a timeout shortly before the deadline. It reports in mayRun whether the request was
 // sent to a host and then given up, so that it may run or have run although its client was not told.
-func (s *Server) awaitAnswer(ctx context.Context, message exchange.Message, fields exchange.Fields, deadline time.Time) (answer exchange.Answer, mayRun bool) {
-	decisionMargin, ownMargin := s.limits.Margins(time.Until(deadline))
-	ex := exchange.New(message, fields, deadline.Add(-decisionMargin))
+func (s *Server) awaitAnswer(ctx context.Context, req clientRequest) (answer exchange.Answer, mayRun bool) {
+	decisionMargin, ownMargin := s.limits.Margins(time.Until(req.deadline))
+	ex := exchange.New(req.message, req.fields, req.deadline.Add(-decisionMargin))
 	if connFrom(ctx).clientLeft(ctx) {
 		s.counters.Inc("requests.client_left")
 		s.traceLeft(ex, "the connection ended before it was read")
@@ -285,7 +319,7 @@
 	if err := s.gateway.Submit(ex); err != nil {
 		return exchange.Answer{Status: exchange.Refused}, false // nothing was sent for the request
 	}
-	ownAnswerTimer := time.NewTimer(time.Until(deadline) - ownMargin)
+	ownAnswerTimer := time.NewTimer(time.Until(req.deadline) - ownMargin)
 	defer ownAnswerTimer.Stop()
 	clientGone, hangup := ctx.Done(), connFrom(ctx).hangupSignal()
 	for {
