--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -291,12 +291,15 @@
 
 // clientLeft reports whether the client has closed the connection before its request was read, which was late: it had
 // waited in the kernel, or was sent together with others. A client that closes only its sending side right behind its
-// request does not count.
+// request does not count. One that has sent more than is read ahead does, since the close would be behind those bytes.
 func (c *conn) clientLeft(ctx context.Context) bool {
 	if c.pipelined && ctx.Err() != nil {
 		return true
 	}
-	return (c.pipelined || sockstat.SinceReceived(c.Conn) >= lateReadTime) && sockstat.PeerClosed(c.Conn)
+	if !c.pipelined && sockstat.SinceReceived(c.Conn) < lateReadTime {
+		return false
+	}
+	return sockstat.PeerClosed(c.Conn) || sockstat.Unread(c.Conn) > c.table.limits.ReadAhead
 }
 
 // countUnserved counts a request that no host has served. If there are too many, the next one is read later.
--- a/internal/clients/request.go
+++ b/internal/clients/request.go
@@ -56,6 +56,9 @@
 	return p
 }
 
+// isSafe reports whether requests of a class may be repeated at any time.
+func (p *requestParser) isSafe(class string) bool { return p.classes[class].Repeatability == logic.Safe }
+
 // requiredHeader returns the value of a header that must be present exactly once, not empty and at most maxLength bytes
 // long.
 func requiredHeader(h http.Header, name string, maxLength int) (string, *requestError) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -204,7 +204,7 @@
 		return false
 	}
 	// Two requests with the same id would be taken for one request sent twice. The first goes on; the id may be used again
-	// once its request has ended, unless nobody knows how it did.
+	// once its request has ended, unless that has run, or may have.
 	if !s.ids.claim(req.message.ID) {
 		s.reject(w, &requestError{http.StatusConflict, "a request with this id is open, or may run"})
 		return false
@@ -306,8 +306,9 @@
 }
 
 // awaitAnswer submits a request to the gateway and returns the final answer. If a host, the event loop or the decisions
-// hang, the node itself answers with a timeout shortly before the deadline. It reports in mayRun whether the request was
-// sent to a host and then given up, so that it may run or have run although its client was not told.
+// hang, the node itself answers with a timeout shortly before the deadline. It reports in mayRun whether a second request with
+// the same id would be one too many: the request was sent to a host, and either it was given up, so that it may run or have
+// run although its client was not told, or its class may not simply be repeated.
 func (s *Server) awaitAnswer(ctx context.Context, req clientRequest) (answer exchange.Answer, mayRun bool) {
 	decisionMargin, ownMargin := s.limits.Margins(time.Until(req.deadline))
 	ex := exchange.New(req.message, req.fields, req.deadline.Add(-decisionMargin))
@@ -325,7 +326,8 @@
 	for {
 		select {
 		case <-ex.Done():
-			return ex.Answer(), ex.Abandoned() && ex.Sent()
+			answer = ex.Answer()
+			return answer, ex.Sent() && (ex.Abandoned() || !s.parser.isSafe(req.fields.Class) && answer.Status != exchange.Refused)
 		case <-clientGone:
 			s.counters.Inc("requests.client_left")
 			s.traceLeft(ex, "the connection ended")
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -101,7 +101,7 @@
 		ServerConns: descriptors / 5, ClientConns: min(descriptors-descriptors/5, memory.ClientConns/clientConnBytes),
 		RetryAfter: s.MaxRetryAfter, EvictIdleAfter: 10 * time.Millisecond, MaxWait: 10 * max(longestDeadline, time.Second),
 		DecisionMargin: 140 * time.Millisecond, OwnAnswerMargin: 110 * time.Millisecond,
-		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictIncompleteAfter: 50 * time.Millisecond,
+		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictIncompleteAfter: 100 * time.Millisecond,
 		WriteStallTimeout: 10 * max(longestDeadline, time.Second),
 		DialTimeout:       resources.DialTimeout, ProbeTimeout: resources.DialTimeout, ServerIdleTimeout: s.ConnIdleTimeout * 9 / 10,
 		ServerReuseDelay: 20 * time.Millisecond, MinServerReuseDelay: 2 * time.Millisecond, AnswerReadTimeout: 400 * time.Millisecond,
--- a/internal/sockstat/sockstat.go
+++ b/internal/sockstat/sockstat.go
@@ -47,6 +47,24 @@
 	return ago
 }
 
+// Unread returns the number of bytes that have arrived on a connection and were not read, or zero if that is not available.
+func Unread(c net.Conn) (bytes int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	rc.Control(func(fd uintptr) { // its error, of a closed connection, means that there is nothing to read
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // readTCPInfo calls use with the kernel's TCP_INFO of a connection, if that is available.
 func readTCPInfo(c net.Conn, use func(*unix.TCPInfo)) {
 	sc, ok := c.(syscall.Conn)
