--- a/internal/clients/request.go
+++ b/internal/clients/request.go
@@ -57,7 +57,9 @@
 }
 
 // isSafe reports whether requests of a class may be repeated at any time.
-func (p *requestParser) isSafe(class string) bool { return p.classes[class].Repeatability == logic.Safe }
+func (p *requestParser) isSafe(class string) bool {
+	return p.classes[class].Repeatability == logic.Safe
+}
 
 // requiredHeader returns the value of a header that must be present exactly once, not empty and at most maxLength bytes
 // long.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -48,7 +48,6 @@
 	ProbeTimeout            time.Duration // for a probe of a server
 	ServerIdleTimeout       time.Duration // connections to servers idle for longer are closed
 	ServerReuseDelay        time.Duration // after an answer its connection is not used again for this long
-	MinServerReuseDelay     time.Duration // the same where no descriptor is left for another connection
 	AnswerReadTimeout       time.Duration // from the first byte of a server's answer to its last
 	SendGrace               time.Duration // an attempt decided before a server's drain may still be sent for this long after the drain began
 	ControlDialTimeout      time.Duration // for a connection to discovery or the release platform
@@ -104,7 +103,7 @@
 		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictIncompleteAfter: 100 * time.Millisecond,
 		WriteStallTimeout: 10 * max(longestDeadline, time.Second),
 		DialTimeout:       resources.DialTimeout, ProbeTimeout: resources.DialTimeout, ServerIdleTimeout: s.ConnIdleTimeout * 9 / 10,
-		ServerReuseDelay: 20 * time.Millisecond, MinServerReuseDelay: 2 * time.Millisecond, AnswerReadTimeout: 400 * time.Millisecond,
+		ServerReuseDelay: 20 * time.Millisecond, AnswerReadTimeout: 400 * time.Millisecond,
 		SendGrace:          s.DrainGrace * 7 / 10,
 		ControlDialTimeout: time.Second, DiscoverySilenceTimeout: 5 * time.Second, PlatformSilenceTimeout: 3500 * time.Millisecond,
 		VoteTimeout:        s.Rollout.VoteTimeout,
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -60,7 +60,7 @@
 	if h == nil {
 		return nil, nil, gateway.Result{Outcome: logic.NotSent}
 	}
-	if c := p.takeIdle(h); c != nil {
+	if c := p.takeSettled(ctx, h); c != nil {
 		return h, c, gateway.Result{}
 	}
 	c, err := p.connect(ctx, h)
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -237,30 +237,49 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection of a host, or nil. A connection on which an
-// answer has just arrived is not reused for a short delay, because a duplicate of the answer or the end of the
+// answer has just arrived is not reused for ServerReuseDelay, because a duplicate of the answer or the end of the
 // connection may follow some milliseconds later: a request written in between would take the duplicate for its answer,
-// or be lost with the connection. The cost is an additional connection when a host gets the next request at once, so
-// the delay is shorter while no descriptor is left for another connection.
-func (p *Pool) takeIdle(h *host) *conn {
+// or be lost with the connection. The cost is an additional connection when a host gets the next request at once. While no
+// descriptor is left for another connection, wait is the time after which an idle connection may be reused; zero: there is
+// none.
+func (p *Pool) takeIdle(h *host) (c *conn, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, reuseDelay := time.Now(), p.limits.ServerReuseDelay
-	if p.open >= p.limits.ServerConns {
-		reuseDelay = p.limits.MinServerReuseDelay
-	}
+	now := time.Now()
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if now.Sub(c.usedAt) < reuseDelay {
+		if unsettled := p.limits.ServerReuseDelay - now.Sub(c.usedAt); unsettled > 0 {
+			if p.open >= p.limits.ServerConns {
+				wait = unsettled // the connections before this one were used earlier
+			}
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
 		if !c.closed && now.Sub(c.usedAt) < p.limits.ServerIdleTimeout && c.openAndEmpty() {
-			return c
+			return c, 0
 		}
 		p.counters.Inc("connections.found_closed")
 		p.closeConn(c)
 	}
-	return nil
+	return nil, wait
+}
+
+// takeSettled is takeIdle, but waits for a connection that may soon be reused, if there is no descriptor for another one.
+func (p *Pool) takeSettled(ctx context.Context, h *host) *conn {
+	c, wait := p.takeIdle(h)
+	if c != nil || wait == 0 {
+		return c
+	}
+	p.counters.Inc("connections.waited_for")
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		c, _ = p.takeIdle(h)
+		return c
+	case <-ctx.Done():
+		return nil
+	}
 }
 
 // putIdle makes a connection idle, or closes it if the host is no longer listed, the pool is closing or the host has
