--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -24,9 +24,12 @@
 	lastReadTime = time.Millisecond
 	// A connection may send this many requests at once, and this many a second, that are not served by a host. Further ones
 	// wait before they are read, since they cost as much time of the processor as those that are served.
-	unservedBurst, unservedPerSecond = 50, 100
+	unservedBurst, unservedPerSecond = 10, 50
 	// lateReadTime is the time after its last byte from which a request counts as read late.
 	lateReadTime = 50 * time.Millisecond
+	// hidingBytes is the number of unread bytes behind which the end of a connection may not be seen. Linux begins with a
+	// receive buffer of 128 KiB, half of which is the window.
+	hidingBytes = 32 << 10
 	// firstRequestGrace is the least time that a connection's first request has from its first byte. Clients are owed an
 	// error or a close within 3 s of connecting, so what begins late has less than RequestReadTimeout.
 	firstRequestGrace = 500 * time.Millisecond
@@ -52,6 +55,7 @@
 	writeDeadline time.Time   // the current write deadline
 	hadRequest    bool        // a request has been received
 	pipelined     bool        // the present request had begun to arrive before the last answer was written
+	slowedDown    bool        // it has sent more unserved requests than a connection may
 	unserved      *rate.Limiter
 	pause         time.Duration // before the next head is read
 
@@ -291,15 +295,24 @@
 
 // clientLeft reports whether the client has closed the connection before its request was read, which was late: it had
 // waited in the kernel, or was sent together with others. A client that closes only its sending side right behind its
-// request does not count. One that has sent more than is read ahead does, since the close would be behind those bytes.
+// request does not count. One that has sent so much that a close would not be seen does.
 func (c *conn) clientLeft(ctx context.Context) bool {
-	if c.pipelined && ctx.Err() != nil {
-		return true
-	}
-	if !c.pipelined && sockstat.SinceReceived(c.Conn) < lateReadTime {
-		return false
+	if c.pipelined {
+		return ctx.Err() != nil || c.closedByPeer()
 	}
-	return sockstat.PeerClosed(c.Conn) || sockstat.Unread(c.Conn) > c.table.limits.ReadAhead
+	return c.leftSinceRequest()
+}
+
+// leftSinceRequest reports whether the client has closed the connection, and its last byte came lateReadTime ago or
+// earlier. It asks the kernel and may be called from any goroutine.
+func (c *conn) leftSinceRequest() bool {
+	return sockstat.SinceReceived(c.Conn) >= lateReadTime && c.closedByPeer()
+}
+
+// closedByPeer reports whether the client has closed the connection, or may have behind so many unread bytes that the
+// kernel's receive window could be full.
+func (c *conn) closedByPeer() bool {
+	return sockstat.PeerClosed(c.Conn) || sockstat.Unread(c.Conn) > hidingBytes
 }
 
 // countUnserved counts a request that no host has served. If there are too many, the next one is read later.
@@ -308,6 +321,7 @@
 		c.unserved = rate.NewLimiter(unservedPerSecond, unservedBurst)
 	}
 	if c.pause = c.unserved.Reserve().Delay(); c.pause > 0 {
+		c.slowedDown = true
 		c.table.counters.Inc("clients.slowed_down")
 	}
 }
@@ -350,22 +364,30 @@
 	}
 	c.table.memory.Release(int(c.reserved.Swap(0)))
 	if linger && c.CloseWrite() == nil {
-		go func() {
-			defer c.closeDescriptor()
-			if c.Conn.SetReadDeadline(time.Now().Add(c.table.limits.Linger)) == nil {
-				io.Copy(io.Discard, io.LimitReader(c.Conn, c.table.limits.LingerBytes)) // until the client closes or a limit is reached
-			}
-		}()
+		go c.linger()
 		return nil
 	}
 	return c.closeDescriptor()
 }
 
+// linger discards what comes until the client closes too, within limits of time and size, or until room is needed.
+func (c *conn) linger() {
+	defer c.closeDescriptor()
+	if c.Conn.SetReadDeadline(time.Now().Add(c.table.limits.Linger)) != nil {
+		return
+	}
+	c.table.mu.Lock()
+	c.table.addToList(c, c.table.lingering)
+	c.table.mu.Unlock()
+	io.Copy(io.Discard, io.LimitReader(c.Conn, c.table.limits.LingerBytes))
+}
+
 // closeDescriptor closes the descriptor, takes the connection off the table's total and wakes waitForDescriptor.
 func (c *conn) closeDescriptor() error {
 	err := c.Conn.Close()
 	c.table.mu.Lock()
 	c.table.total--
+	c.table.removeFromList(c)
 	c.table.mu.Unlock()
 	select {
 	case c.table.descriptorFreed <- struct{}{}:
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -39,6 +39,7 @@
 	awaitingHead    *list.List    // of *conn: no whole head has been received since the connection was accepted or the request began; oldest first
 	awaitingBody    *list.List    // of *conn: a head has been received and its body is incomplete; oldest first
 	idle            *list.List    // of *conn: the last answer is written and nothing was received since; longest idle first
+	lingering       *list.List    // of *conn: the last answer is written and the client has yet to close; oldest first
 	descriptorFreed chan struct{} // receives a value when a descriptor is closed
 
 	memoryVictim      *conn     // the connection that was last evicted for its memory
@@ -48,12 +49,12 @@
 // newConnTable returns an empty table.
 func newConnTable(limits config.Limits, counters *metrics.Registry, log *zap.Logger) *connTable {
 	return &connTable{limits: limits, counters: counters, shortage: shortageLog{log: log}, memory: memory.NewBudget(limits.RequestMemory),
-		awaitingHead: list.New(), awaitingBody: list.New(), idle: list.New(), descriptorFreed: make(chan struct{}, 1)}
+		awaitingHead: list.New(), awaitingBody: list.New(), idle: list.New(), lingering: list.New(), descriptorFreed: make(chan struct{}, 1)}
 }
 
 // addToList appends an open connection that is in no list to the given one. The caller holds the lock.
 func (t *connTable) addToList(c *conn, to *list.List) {
-	if !c.closed && c.listElement == nil {
+	if (!c.closed || to == t.lingering) && c.listElement == nil {
 		c.listElement, c.inList, c.listedSince = to.PushBack(c), to, time.Now()
 	}
 }
@@ -133,8 +134,8 @@
 
 // evictForRoom evicts one connection if descriptors are short, and reports whether it did. Those that have not sent a
 // whole request go first, since hundreds of them would otherwise push out connections that serve requests: the oldest that
-// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, for EvictIncompleteAfter. Then comes the
-// one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a moment ago
+// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, for EvictIncompleteAfter. Then come, if a
+// new one waits, those that have their last answer and only wait for their client to close, and then the one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a moment ago
 // may well have its next request under way. Connections already being evicted count as gone: on a busy machine they take
 // time to close, and evicting others meanwhile would close many that clients still want. The cost: while descriptors are
 // short, a client whose request takes longer to arrive may lose its connection.
@@ -148,16 +149,16 @@
 	if t.total-t.evictingCount <= wanted {
 		return false
 	}
-	if t.evictIncomplete(minAge) {
+	if t.evictIncomplete(minAge) || newOneWaits && t.evictOldest(t.lingering, t.limits.EvictIdleAfter) {
 		return true
 	}
 	return !t.manyIncomplete() && t.evictOldest(t.idle, t.limits.EvictIdleAfter)
 }
 
-// manyIncomplete reports whether so many connections have not sent a whole request that room can be expected from them,
-// even if they have not waited long enough yet. The caller holds the lock.
+// manyIncomplete reports whether so many connections have not sent a whole request, or have their last answer, that room
+// can be expected from them, even if they have not waited long enough yet. The caller holds the lock.
 func (t *connTable) manyIncomplete() bool {
-	return t.awaitingHead.Len()+t.awaitingBody.Len() > t.limits.ClientConns/4
+	return t.awaitingHead.Len()+t.awaitingBody.Len()+t.lingering.Len() > t.limits.ClientConns/4
 }
 
 // evictIncomplete evicts the connection that has waited longest to complete its request, if for at least minAge, and
@@ -193,11 +194,14 @@
 // evict wakes the reader of a connection, which closes it unless a whole request has arrived, and reports whether the
 // connection was open. The caller holds the lock.
 func (t *connTable) evict(c *conn) bool {
-	c.setEvicting(true)
+	lingering := c.closed
+	if !lingering {
+		c.setEvicting(true)
+	}
 	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		return false
 	}
-	t.counters.Inc("clients.evicted")
+	t.counters.Inc(map[bool]string{true: "clients.linger_cut", false: "clients.evicted"}[lingering])
 	return true
 }
 
@@ -256,19 +260,23 @@
 	return t.evictingCount > 0
 }
 
-// mustCloseAfterAnswer reports whether an answer has to close its connection: either more connections are open than the
-// node wants and none can make room, or a new connection has waited for a descriptor. On a busy machine, connections
+// mustCloseAfterAnswer reports whether the answer to a connection's present request has to close the connection: either
+// more connections are open than the node wants, and none can make room or the client sends more than one request at a time
+// or too many that are not served; or a new connection has waited for a descriptor. On a busy machine, connections
 // between requests already have their next request waiting and cannot be evicted; if they were served forever, new
 // connections would stay in the backlog until their requests time out. Each close costs the client a new connection, which
 // is more expensive than the request, so only a few answers per wait close theirs.
-func (t *connTable) mustCloseAfterAnswer() bool {
+func (t *connTable) mustCloseAfterAnswer(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pendingCloses > 0 {
 		t.pendingCloses--
 		return true
 	}
-	return t.total > t.limits.ClientConns-t.limits.SpareClientConns && t.idle.Len() == 0 && !t.manyIncomplete()
+	if t.total <= t.limits.ClientConns-t.limits.SpareClientConns {
+		return false
+	}
+	return c.slowedDown || c.pipelined || t.idle.Len() == 0 && !t.manyIncomplete()
 }
 
 // isFull reports whether there is no descriptor for another connection.
--- a/internal/clients/ends_test.go
+++ b/internal/clients/ends_test.go
@@ -472,3 +472,26 @@
 		}
 	}
 }
+
+// Connections that only wait for their clients to close make room for new ones. It guards against new connections that
+// wait in the backlog until their requests are over.
+func TestLingeringConnectionsMakeRoom(t *testing.T) {
+	limits := testLimits()
+	limits.Linger, limits.ClientConns, limits.SpareClientConns, limits.EvictIncompleteAfter = patience, 2, 0, time.Millisecond
+	addr, s, counters := startServer(t, limits, &stubGateway{onSubmit: serveOK})
+	s.closeAfterAnswers.Store(true)
+	for i := range 6 { // no client closes its connection
+		c := dial(t, addr)
+		c.write(get())
+		if resp, body := c.read(); resp.StatusCode != 200 || body != "hi" {
+			t.Fatalf("connection %d: status %d", i, resp.StatusCode)
+		}
+	}
+	if counters.Get("clients.linger_cut") == 0 {
+		t.Error("no lingering connection was closed")
+	}
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	for s.conns.evictOldest(s.conns.lingering, 0) {
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -190,7 +190,7 @@
 		s.reject(w, reqErr)
 		return false
 	}
-	if s.conns.mustCloseAfterAnswer() {
+	if s.conns.mustCloseAfterAnswer(conn) {
 		w.Header().Set("Connection", "close")
 	}
 	inTime := req.deadline.After(time.Now())
@@ -312,6 +312,7 @@
 func (s *Server) awaitAnswer(ctx context.Context, req clientRequest) (answer exchange.Answer, mayRun bool) {
 	decisionMargin, ownMargin := s.limits.Margins(time.Until(req.deadline))
 	ex := exchange.New(req.message, req.fields, req.deadline.Add(-decisionMargin))
+	ex.ClientLeft = connFrom(ctx).leftSinceRequest
 	if connFrom(ctx).clientLeft(ctx) {
 		s.counters.Inc("requests.client_left")
 		s.traceLeft(ex, "the connection ended before it was read")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -53,8 +53,9 @@
 type Exchange struct {
 	Message    Message
 	Fields     Fields
-	Deadline   time.Time // when the decision module's time for it ends
-	DispatchID string    // id of the dispatch (planned work under the agreed rules) that it carries out; empty: a client's request
+	Deadline   time.Time   // when the decision module's time for it ends
+	ClientLeft func() bool // reports whether the client has closed its connection, asked right before an attempt is sent; nil: not known
+	DispatchID string      // id of the dispatch (planned work under the agreed rules) that it carries out; empty: a client's request
 
 	abandoned atomic.Bool
 	sent      atomic.Bool
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -43,6 +43,12 @@
 		p.putIdle(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
+	// On a busy machine it may take long until the close of a client is noticed elsewhere, so the kernel is asked now.
+	if a.Exchange.ClientLeft != nil && a.Exchange.ClientLeft() {
+		p.counters.Inc("attempts.client_left")
+		p.putIdle(h, c)
+		return gateway.Result{Outcome: logic.NotSent}
+	}
 	a.Exchange.MarkSent()
 	text, body := encodeRequest(a)
 	r := p.execute(ctx, h, c, text, body, a.Exchange.DispatchID)
--- a/internal/servers/dial_test.go
+++ b/internal/servers/dial_test.go
@@ -267,3 +267,27 @@
 		})
 	}
 }
+
+// An attempt is not sent if its client has left by the time that its first byte would go out, even if nobody has noticed
+// that yet. It guards against attempts that a busy process sends long after the close.
+func TestClientThatLeftIsNoticedAtSend(t *testing.T) {
+	h := newFakeHost(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for reply(c, r, okResponse) != nil {
+		}
+	})
+	p, counters := newPool(t, testLimits(), h.host(1))
+	for _, left := range []bool{true, false} {
+		ex := exchange.New(exchange.Message{Method: "GET", Target: "/api", ID: "x"}, exchange.Fields{}, time.Now().Add(patience))
+		ex.ClientLeft = func() bool { return left }
+		want := logic.OK
+		if left {
+			want = logic.NotSent
+		}
+		if r := send(t, p, gateway.Attempt{Exchange: ex}); r.Outcome != want {
+			t.Errorf("client left %v: outcome %v, want %v", left, r.Outcome, want)
+		}
+	}
+	if n := counters.Get("attempts.client_left"); n != 1 {
+		t.Errorf("%d attempts counted, want 1", n)
+	}
+}
