--- a/cmd/merlinarch/main.go
+++ b/cmd/merlinarch/main.go
@@ -122,6 +122,7 @@
 			fmt.Fprintf(cmd.OutOrStdout(), "configuration is good: %s listens on %s, %d classes, %d peers, room for %d requests, "+
 				"%d connections from clients, %d to hosts\n", c.Name, c.Listen, len(c.Settings.Classes), len(c.Peers),
 				c.Limits.MaxHeld, c.Limits.ClientConns, c.Limits.ServerConns)
+			fmt.Fprintf(cmd.OutOrStdout(), "memory: %v\n", c.Limits.Memory)
 			return nil
 		}}
 	f.register(c)
--- a/cmd/merlinarch/main_test.go
+++ b/cmd/merlinarch/main_test.go
@@ -312,6 +312,7 @@
 		{[]string{"version"}, 0, "merlinarch", ""},
 		{[]string{"dance"}, 2, "", "unknown command"},
 		{[]string{"check", "-config", good}, 0, "good", ""},
+		{[]string{"check", "-config", good}, 0, "memory: 192 MiB, of these 134.4 for the Go runtime", ""},
 		{[]string{"check", "-config", broken}, 2, "", "not JSON"},
 		{[]string{"check"}, 2, "", "LB_CONFIG is not set"},
 		{[]string{"check", "--config", good, "--settings", plain}, 0, "good", ""},
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -10,9 +10,10 @@
 // Limits holds the sizes, counts and times that this node keeps to. NewLimits derives them once, from the resources
 // of the node and the settings. None of them decides where a request goes or how it ends.
 type Limits struct {
-	Cores       int   // processors that Go may use
-	MemoryBytes int64 // soft memory limit of the Go runtime
-	GCPercent   int   // growth of the heap between collections, as long as memory allows
+	Cores       int    // processors that Go may use
+	Memory      Memory // how the node's memory is divided
+	MemoryBytes int64  // soft memory limit of the Go runtime
+	GCPercent   int    // growth of the heap between collections, as long as memory allows
 
 	MaxBody             int // bytes of a request's body; an answer's may be longer
 	MaxAnswer           int // bytes of an answer's body
@@ -92,7 +93,7 @@
 	descriptors := resources.Sockets - reservedDescriptors
 	memory := NewMemory(resources.MemoryMB)
 	l := Limits{
-		Cores: max(1, int(resources.Cores)), MemoryBytes: int64(memory.Runtime), GCPercent: 400,
+		Cores: max(1, int(resources.Cores)), Memory: memory, MemoryBytes: int64(memory.Runtime), GCPercent: 400,
 		MaxBody: 64 << 10, MaxAnswer: min(2*mebibyte, memory.Requests/4),
 		MaxHead: 16 << 10, MaxHeadFields: 100, ReadAhead: 8 << 10, RequestMemory: memory.Requests, MaxPlatformLine: 8 << 10, MaxDiscoveryLine: 8 << 20, MaxDatagram: 256,
 		MaxIDLength: 256, MaxEvents: 4096, MaxOutgoing: 256,
--- a/internal/config/memory.go
+++ b/internal/config/memory.go
@@ -1,5 +1,7 @@
 package config
 
+import "fmt"
+
 const (
 	mebibyte = 1 << 20
 
@@ -18,6 +20,13 @@
 	Requests    int // heads and bodies of requests and bodies of answers, beyond those buffers
 }
 
+// String describes the parts, in MiB.
+func (m Memory) String() string {
+	mib := func(bytes int) float64 { return float64(bytes) / mebibyte }
+	return fmt.Sprintf("%.0f MiB, of these %.1f for the Go runtime: %.1f at rest, %.1f for connections from clients, %.1f for requests and answers",
+		mib(m.Limit), mib(m.Runtime), mib(baseBytes), mib(m.ClientConns), mib(m.Requests))
+}
+
 // NewMemory divides the memory of a node. The runtime's limit is soft, so a tenth of large memories stays in reserve.
 func NewMemory(megabytes int) Memory {
 	limit := megabytes * mebibyte
