--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -189,7 +189,7 @@
 		separator = "&"
 	}
 	ex := exchange.New(exchange.Message{Method: http.MethodPost, Target: t.Plan.Target + separator + "fence=" + strconv.FormatUint(t.Fence, 10),
-		ID: fmt.Sprintf("%s-%d", t.Dispatch, t.Fence), DedupKey: "dispatch-" + t.Dispatch, Body: []byte(t.Plan.Body)},
+		ID: fmt.Sprintf("%s-%d", t.Dispatch, t.Fence), DedupKey: dispatchKey(t), Body: []byte(t.Plan.Body)},
 		exchange.Fields{Class: t.Plan.Class, RequiredZone: t.Plan.Site}, deadline)
 	ex.DispatchID = t.Dispatch
 	if s.gateway.Submit(ex) != nil {
@@ -210,6 +210,14 @@
 	return a.Status == exchange.Served
 }
 
+// dispatchKey returns the idempotency key of a dispatch: all tries of the same work have the same one.
+func dispatchKey(t statemachine.Task) string {
+	if t.Generation == 0 {
+		return "dispatch-" + t.Dispatch
+	}
+	return fmt.Sprintf("dispatch-%s-%d", t.Dispatch, t.Generation)
+}
+
 // followerOptions returns the options with which this router follows the replicated configuration.
 func followerOptions(a features.Accord, c config.Config) accord.Options {
 	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.WithoutLease),
--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -274,6 +275,51 @@
 	}
 }
 
+// The outcome of a claim of work that was withdrawn does not mark work that was asked for since under the same name: that is
+// claimed anew and carried out. It guards against work that is reported as done and was never sent.
+func TestOutcomeBelongsToItsWork(t *testing.T) {
+	plan := ruleset.Dispatch{Site: "x", Class: "c", Target: "/", Earliest: 1, Latest: 1 << 40, Worth: 1}
+	for name, end := range map[string]Entry{
+		"done":       {Outcome: &Outcome{Dispatch: "d", Fence: 1, Done: true}},
+		"unknown":    {Outcome: &Outcome{Dispatch: "d", Fence: 1}},
+		"owner gone": {Term: 1, Reclaim: &Reclaim{Dispatch: "d", Fence: 1}},
+	} {
+		s := New(cordon.Budget{Share: 1}, 1000)
+		s.Apply(enrolEntry("n0", "t", lease.Hold), 1)
+		change := func(c ruleset.Change) {
+			c.Name = "d"
+			s.applyChange(1, fmt.Sprint(s.Ruleset.Document.Head.Version), c)
+			s.Apply(Entry{Term: 1, Activate: &Activate{Version: s.Ruleset.Document.Head.Version}}, 1)
+		}
+		change(ruleset.Change{Kind: ruleset.KindDispatch, Dispatch: &plan})
+		claim := Entry{Term: 1, Claim: &Claim{Dispatch: "d", Name: "n0", Incarnation: 1}}
+		s.Apply(claim, 1)
+		first := s.Tasks("n0", 1)
+		change(ruleset.Change{Kind: ruleset.KindWithdraw})
+		second := plan
+		second.Body = "another"
+		change(ruleset.Change{Kind: ruleset.KindDispatch, Dispatch: &second})
+		if tasks := s.Tasks("n0", 1); len(first) != 1 || len(tasks) != 0 {
+			t.Fatalf("%s: first tasks %+v, and after the new plan, with the earlier claim, %+v", name, first, tasks)
+		}
+		s.Apply(end, 1)
+		if got := s.Dispatches["d"].Progress; got != Free {
+			t.Errorf("%s: the new work is %q, want free", name, got)
+		}
+		s.Apply(claim, 1)
+		tasks := s.Tasks("n0", 1)
+		if len(tasks) != 1 || tasks[0].Fence != 2 || tasks[0].Plan.Body != "another" || tasks[0].Generation == first[0].Generation {
+			t.Errorf("%s: tasks %+v, want the new work under a fence and a generation of its own", name, tasks)
+		}
+		if s.Apply(end, 1); s.Dispatches["d"].Progress != Claimed {
+			t.Errorf("%s: an outcome that came twice changed the new claim: %+v", name, s.Dispatches["d"])
+		}
+		if s.Apply(Entry{Outcome: &Outcome{Dispatch: "d", Fence: 2, Done: true}}, 1); s.Dispatches["d"].Progress != Done {
+			t.Errorf("%s: the new work is not done: %+v", name, s.Dispatches["d"])
+		}
+	}
+}
+
 // A dispatcher gets a longer lease while its site is about to be cut off, and the staleness bound of the site says so.
 func TestLongerLease(t *testing.T) {
 	s := New(cordon.Budget{Share: 1}, 1000)
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -66,8 +66,15 @@
 	Failures    int      `json:"fails,omitempty"`
 	Reason      string   `json:"why,omitempty"` // why it was given up
 	ChangedMs   int64    `json:"at_ms"`
+
+	// Generation is the least fence of a claim of the present work. Claims with lower fences are of work of the same name that
+	// was withdrawn while they were in force. Zero: there was none.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
+// claimIsOfEarlierWork reports whether the present claim is of work that was withdrawn.
+func (d DispatchState) claimIsOfEarlierWork() bool { return d.Fence < d.Generation }
+
 // applyDispatch applies an entry about a dispatch.
 func (s *State) applyDispatch(e Entry) Result {
 	name := ""
@@ -94,21 +101,19 @@
 		}
 		s.LastFence++
 		dispatch.Progress, dispatch.Owner, dispatch.Incarnation, dispatch.Fence, dispatch.LastTriedMs = Claimed, e.Claim.Name, e.Claim.Incarnation, s.LastFence, e.At
-	case e.Outcome != nil && e.Outcome.Done:
+	case e.Outcome != nil && e.Outcome.Done && e.Outcome.Fence >= dispatch.Generation:
 		if !exists { // it was withdrawn in the meantime
 			return Result{Refused: "no such dispatch"}
 		}
 		dispatch.Progress, dispatch.Reason = Done, "" // the receiver has it, whichever owner sent it
 	case e.Outcome != nil:
-		if dispatch.Progress != Claimed || dispatch.Fence != e.Outcome.Fence {
+		if !dispatch.endClaim(e.Outcome.Fence) {
 			return Result{Refused: "another has it by now"}
 		}
-		dispatch.Progress, dispatch.Failures = Free, dispatch.Failures+1
 	case e.Reclaim != nil:
-		if dispatch.Progress != Claimed || dispatch.Fence != e.Reclaim.Fence {
+		if !dispatch.endClaim(e.Reclaim.Fence) {
 			return Result{Refused: "another has it by now"}
 		}
-		dispatch.Progress, dispatch.Failures = Free, dispatch.Failures+1
 	default:
 		if !planned || dispatch.Progress == Claimed || isFinal {
 			return Result{Refused: "not to be given up"}
@@ -121,12 +126,33 @@
 	return Result{}
 }
 
-// removeWithdrawn removes dispatches that were withdrawn, unless their owner may still be sending them.
+// endClaim ends the claim with a fence without a result, and reports whether it was the present one. The try counts only if it
+// was one of the present work.
+func (d *DispatchState) endClaim(fence uint64) bool {
+	if d.Progress != Claimed || d.Fence != fence {
+		return false
+	}
+	d.Progress = Free
+	if !d.claimIsOfEarlierWork() {
+		d.Failures++
+	}
+	return true
+}
+
+// removeWithdrawn removes dispatches that were withdrawn, unless their owner may still be sending them. What is planned
+// under the name of such a one is new work.
 func (s *State) removeWithdrawn() {
-	maps.DeleteFunc(s.Dispatches, func(name string, w DispatchState) bool {
-		_, planned := s.Ruleset.Document.Rules.Dispatches[name]
-		return !planned && w.Progress != Claimed
-	})
+	for name, dispatch := range s.Dispatches {
+		if _, planned := s.Ruleset.Document.Rules.Dispatches[name]; planned {
+			continue
+		}
+		if dispatch.Progress != Claimed {
+			delete(s.Dispatches, name)
+			continue
+		}
+		dispatch.Generation, dispatch.Failures = s.LastFence+1, 0
+		s.Dispatches[name] = dispatch
+	}
 }
 
 // plannedOutages returns the outages of a site that operators have entered.
@@ -254,8 +280,8 @@
 	var out []Task
 	for _, d := range slices.Sorted(maps.Keys(s.Dispatches)) {
 		x := s.Dispatches[d]
-		if plan, ok := s.Ruleset.Document.Rules.Dispatches[d]; ok && x.Progress == Claimed && x.Owner == name && x.Incarnation == incarnation {
-			out = append(out, Task{Dispatch: d, Fence: x.Fence, Plan: plan})
+		if plan, ok := s.Ruleset.Document.Rules.Dispatches[d]; ok && x.Progress == Claimed && !x.claimIsOfEarlierWork() && x.Owner == name && x.Incarnation == incarnation {
+			out = append(out, Task{Dispatch: d, Fence: x.Fence, Generation: x.Generation, Plan: plan})
 		}
 	}
 	return out
@@ -266,6 +292,8 @@
 	Dispatch string           `json:"dispatch"`
 	Fence    uint64           `json:"fence"`
 	Plan     ruleset.Dispatch `json:"work"`
+
+	Generation uint64 `json:"generation,omitempty"` // distinguishes work that was planned under the name of withdrawn work
 }
 
 // SiteStatus tells whether a site was reachable when last observed, and how likely it is to be reachable in an hour.
