--- a/cmd/merlinarch/overload_test.go
+++ b/cmd/merlinarch/overload_test.go
@@ -230,6 +230,16 @@
 				time.Sleep(time.Second)
 			}
 		},
+		"stalled readers": func(c net.Conn, id string) {
+			c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			for i := range 100 {
+				if _, err := fmt.Fprintf(c, "GET /api?large HTTP/1.1\r\nHost: x\r\nX-Txn: %s-%d\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n", id, i); err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+		},
 		"unread answers": func(c net.Conn, id string) {
 			for i := range 64 {
 				if _, err := fmt.Fprintf(c, "GET /api?large HTTP/1.1\r\nHost: x\r\nX-Txn: %s-%d\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n", id, i); err != nil {
