--- a/logic/judge_test.go
+++ b/logic/judge_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -770,3 +771,31 @@
 		}
 	}
 }
+
+// The test takes bounded memory and time, whatever the counts: more bad outcomes than outcomes, as rounding may give, count
+// as all bad, and a very large fleet's counts are scaled down without a change of the result. It guards against a process
+// that ends for want of memory.
+func TestHarmPValueIsBounded(t *testing.T) {
+	pValue := func(oldN, oldBad, newN, newBad uint32) (p float64, bytes uint64) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		p = harmPValue(rand.New(rand.NewPCG(1, 2)), oldN, oldBad, newN, newBad, 0.02)
+		runtime.ReadMemStats(&after)
+		return p, after.TotalAlloc - before.TotalAlloc
+	}
+	for _, c := range []struct {
+		oldN, oldBad, newN, newBad uint32
+		harmful                    bool
+	}{
+		{100, 101, 100, 100, false},
+		{100, 10, 100, 200, true},
+		{3_000_000, 150_000, 3_000_000, 150_000, false},
+		{3_000_000, 150_000, 1_000_000, 100_000, true},
+		{4_000_000_000, 40_000_000, 4_000_000_000, 400_000_000, true},
+	} {
+		p, bytes := pValue(c.oldN, c.oldBad, c.newN, c.newBad)
+		if harmful := p < significanceLevel; harmful != c.harmful || bytes > 4<<20 {
+			t.Errorf("%+v: p-value %g, %d bytes allocated", c, p, bytes)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,7 @@
 	significanceLevel     = 0.01                   // the test rejects a build at p-values below this
 	testSampleSize        = 20                     // pooled outcomes of the new build at which a voter tests
 	walkPermutations      = 20                     // random orderings whose results the test combines
+	maxWalkOutcomes       = 200_000                // larger samples are scaled down to this size
 	trialCapPart          = 0.8                    // part of the cap used by first attempts at the new build
 	minEvidenceAge        = 3 * time.Second        // outcomes of younger servers are not counted as evidence
 	stageTimeout          = 5 * time.Second        // wait for outcomes after the newest server's listing
@@ -1006,6 +1007,11 @@
 // inverse of that build's part of the outcomes. The two-armed bandit's walk runs over random orderings of the
 // scores, and the p-values of these orderings are combined by the Cauchy combination test.
 func harmPValue(rng *rand.Rand, oldN, oldBad, newN, newBad uint32, margin float64) float64 {
+	if total := uint64(oldN) + uint64(newN); total > maxWalkOutcomes {
+		scale := func(n uint32) uint32 { return uint32(uint64(n) * maxWalkOutcomes / total) }
+		oldN, oldBad, newN, newBad = scale(oldN), scale(oldBad), scale(newN), scale(newBad)
+	}
+	oldBad, newBad = min(oldBad, oldN), min(newBad, newN) // rounding may give more bad outcomes than outcomes
 	nNew, nOld := float64(newN), float64(oldN)
 	n := nNew + nOld
 	if nNew == 0 || nOld == 0 {
@@ -1013,10 +1019,16 @@
 	}
 	goodOld, goodNew, newPart := 1-float64(oldBad)/nOld, 1-float64(newBad)/nNew, nNew/n
 	diff := goodOld - goodNew - margin
-	scores := slices.Concat(slices.Repeat([]float64{diff + (1-goodOld)/(1-newPart)}, int(oldN-oldBad)),
-		slices.Repeat([]float64{diff - goodOld/(1-newPart)}, int(oldBad)),
-		slices.Repeat([]float64{diff - (1-goodNew)/newPart}, int(newN-newBad)),
-		slices.Repeat([]float64{diff + goodNew/newPart}, int(newBad)))
+	scores := make([]float64, 0, oldN+newN)
+	add := func(score float64, times uint32) {
+		for range times {
+			scores = append(scores, score)
+		}
+	}
+	add(diff+(1-goodOld)/(1-newPart), oldN-oldBad)
+	add(diff-goodOld/(1-newPart), oldBad)
+	add(diff-(1-goodNew)/newPart, newN-newBad)
+	add(diff+goodNew/newPart, newBad)
 	sumSquares := 0.0 // the mean score is diff, since the residuals of each arm sum to 0
 	for _, v := range scores {
 		sumSquares += (v - diff) * (v - diff)
