--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -177,13 +177,15 @@
 	maxTimeout time.Duration
 }
 
-// Send sends a dispatch with its idempotency key and the fencing token of this claim. It reports whether the receiver
-// accepted it.
-func (s dispatchSender) Send(ctx context.Context, t statemachine.Task) bool {
+// Send sends a dispatch with its idempotency key and the fencing token of this claim. It reports what is known of the try.
+func (s dispatchSender) Send(ctx context.Context, t statemachine.Task) accord.TryResult {
 	deadline := time.Now().Add(min(s.maxTimeout, max(time.Second, 4*time.Duration(t.Plan.ExpectedDurationMs*float64(time.Millisecond)))))
 	if latest := time.UnixMilli(t.Plan.Latest); latest.Before(deadline) {
 		deadline = latest
 	}
+	if until := time.UnixMilli(t.RepeatUntilMs); t.RepeatUntilMs > 0 && until.Before(deadline) {
+		deadline = until
+	}
 	separator := "?"
 	if strings.Contains(t.Plan.Target, "?") {
 		separator = "&"
@@ -193,7 +195,7 @@
 		exchange.Fields{Class: t.Plan.Class, RequiredZone: t.Plan.Site}, deadline)
 	ex.DispatchID = t.Dispatch
 	if s.gateway.Submit(ex) != nil {
-		return false
+		return accord.TryNotRun
 	}
 	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
@@ -207,7 +209,29 @@
 	}
 	a := ex.Answer()
 	defer a.Release()
-	return a.Status == exchange.Served
+	switch {
+	case a.Status == exchange.Served:
+		return accord.TryDone
+	case a.Status == exchange.Refused || !ex.Sent(): // a refusal promises that nothing has run
+		return accord.TryNotRun
+	default:
+		return accord.TryUnknown
+	}
+}
+
+// repeatWindows returns for each class how long its receivers drop repeats of planned work, in milliseconds. Planned work goes
+// to the servers of one zone, so a class whose repeats are dropped by a smaller group has no window.
+func repeatWindows(classes []logic.Class) map[string]int64 {
+	windows := map[string]int64{}
+	for _, c := range classes {
+		switch {
+		case c.Repeatability == logic.Safe:
+			windows[c.Name] = statemachine.AnyTime
+		case c.Repeatability == logic.Keyed && c.DedupScope != logic.ScopeCell:
+			windows[c.Name] = c.DedupWindow.Milliseconds()
+		}
+	}
+	return windows
 }
 
 // dispatchKey returns the idempotency key of a dispatch: all tries of the same work have the same one.
@@ -221,7 +245,8 @@
 // followerOptions returns the options with which this router follows the replicated configuration.
 func followerOptions(a features.Accord, c config.Config) accord.Options {
 	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.WithoutLease),
-		Terms: a.LeaseTerms(), ClockStep: a.ClockStep, Clock: accord.Clock{Rate: a.ClockRate}, Seed: c.Seed, SendServerEvidence: a.Auto.MinDispatchers > 0}
+		Terms: a.LeaseTerms(), ClockStep: a.ClockStep, Clock: accord.Clock{Rate: a.ClockRate}, Seed: c.Seed, SendServerEvidence: a.Auto.MinDispatchers > 0,
+		RepeatWindows: repeatWindows(c.Settings.Classes)}
 }
 
 // reloadConfig rereads the configuration file and switches to the addresses that it names now. A file that can't be used
--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -37,6 +37,8 @@
 	KnownKinds         []string      // kinds of rules that are supported; nil stands for all that this program supports
 	ClockStep          time.Duration // added to the wall clock, for tests
 	SendServerEvidence bool          // each beat reports what servers answered
+
+	RepeatWindows map[string]int64 // by class: how long receivers drop repeats of planned work; see statemachine.DispatchState
 }
 
 // wallClock returns the wall clock's time, shifted by ClockStep.
@@ -59,10 +61,20 @@
 	TakeSiteEvidence() []contact.Evidence
 }
 
-// DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request. Send reports
-// whether the receiver has certainly received it; ctx ends with the dispatcher.
+// TryResult is what is known of a try of planned work.
+type TryResult int
+
+// Results of a try.
+const (
+	TryUnknown TryResult = iota // the receiver may have run it
+	TryDone                     // the receiver has it
+	TryNotRun                   // the receiver certainly has not run it
+)
+
+// DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request; ctx ends with the
+// dispatcher.
 type DispatchSender interface {
-	Send(ctx context.Context, t statemachine.Task) (done bool)
+	Send(ctx context.Context, t statemachine.Task) TryResult
 }
 
 // Follower keeps a dispatcher's lease and its copy of the replicated configuration up to date. It is a client of the
@@ -245,7 +257,8 @@
 		}
 		f.incarnation = e.Incarnation
 	}
-	beat := Beat{Cluster: f.opts.Cluster, Name: f.opts.Name, Incarnation: f.incarnation, HeldVersion: f.Gate.HeldVersion(), UnknownKinds: f.unknownKinds}
+	beat := Beat{Cluster: f.opts.Cluster, Name: f.opts.Name, Incarnation: f.incarnation, HeldVersion: f.Gate.HeldVersion(), UnknownKinds: f.unknownKinds,
+		RepeatWindows: f.opts.RepeatWindows}
 	servers, serversDigest := f.fleet.Servers()
 	if beat.ServersDigest = serversDigest; f.sendServers {
 		beat.Servers = servers
@@ -298,9 +311,12 @@
 		f.tasks[t.Fence] = nil
 		f.counters.Inc("accord.tasks")
 		f.running.Go(func() {
-			done := f.Sender != nil && f.Sender.Send(ctx, t)
+			result := TryNotRun
+			if f.Sender != nil {
+				result = f.Sender.Send(ctx, t)
+			}
 			select {
-			case f.finished <- statemachine.Outcome{Dispatch: t.Dispatch, Fence: t.Fence, Done: done}:
+			case f.finished <- statemachine.Outcome{Dispatch: t.Dispatch, Fence: t.Fence, Done: result == TryDone, NotRun: result == TryNotRun}:
 			case <-ctx.Done():
 			}
 		})
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -71,9 +71,11 @@
 	Servers        []cordon.Server   `json:"listed,omitempty"`  // only if the registrar's last response asked for the list
 	ServerEvidence []cordon.Evidence `json:"reports,omitempty"`
 
-	UnixMs       int64                  `json:"unix_ms"`         // the sender's wall clock
-	SiteEvidence []contact.Evidence     `json:"met,omitempty"`   // results of attempts at each site since the last beat
-	Outcomes     []statemachine.Outcome `json:"ended,omitempty"` // finished tries of dispatches; repeated until the response no longer lists their tasks
+	UnixMs        int64              `json:"unix_ms"`                     // the sender's wall clock
+	SiteEvidence  []contact.Evidence `json:"met,omitempty"`               // results of attempts at each site since the last beat
+	RepeatWindows map[string]int64   `json:"repeat_windows_ms,omitempty"` // by class; see statemachine.DispatchState
+
+	Outcomes []statemachine.Outcome `json:"ended,omitempty"` // finished tries of dispatches; repeated until the response no longer lists their tasks
 }
 
 // BeatResponse grants a lease on a version. The lease starts when the Beat was sent.
--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -151,6 +151,9 @@
 	if s.Ruleset == nil || s.Forecaster == nil || !s.Ruleset.Document.HasValidHash() {
 		return nil, errors.New("record: not whole")
 	}
+	for name, dispatch := range s.Dispatches {
+		s.Dispatches[name] = dispatch.withUnrecordedTries()
+	}
 	return s, nil
 }
 
@@ -329,6 +332,8 @@
 	UnixMs      int64                    // wall-clock time
 	Schedule    schedule.Settings
 	Elapsed     time.Duration // since the last entry that counted time
+
+	RepeatWindows map[string]map[string]int64 // by dispatcher and class; see DispatchState.WindowMs
 }
 
 // Cordons returns the status of all cordons, sorted by ID.
--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -11,6 +11,7 @@
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/ruleset"
+	"merlinarch/internal/decide/schedule"
 )
 
 var terms = lease.DefaultTerms()
@@ -344,3 +345,89 @@
 		t.Error("a longer lease of an earlier leader counts as expired")
 	}
 }
+
+// A try that may have run is repeated only while its receivers drop a repeat, counted from its claim. After that the work is
+// neither sent nor called done, but reported as unknown; a late outcome may still settle it. It guards against planned work
+// that runs twice.
+func TestTriesAreRepeatedWithinTheirWindow(t *testing.T) {
+	const second = int64(1000)
+	unknown := func(fence uint64) Entry { return Entry{Outcome: &Outcome{Dispatch: "d", Fence: fence}} }
+	for _, c := range []struct {
+		name    string
+		window  int64
+		end     func(fence uint64) Entry // of the first try
+		again   int64                    // when the leader looks again, in Unix ms after the claim
+		want    Progress                 // after that
+		limited bool                     // the second try may not be sent at any time
+	}{
+		{"within its window", 20 * second, unknown, 5 * second, Claimed, true},
+		{"past its window", 8 * second, unknown, 12 * second, Unknown, false},
+		{"owner gone, within its window", 20 * second, func(f uint64) Entry { return Entry{Term: 1, Reclaim: &Reclaim{Dispatch: "d", Fence: f}} }, 5 * second, Claimed, true},
+		{"owner gone, past its window", 8 * second, func(f uint64) Entry { return Entry{Term: 1, Reclaim: &Reclaim{Dispatch: "d", Fence: f}} }, 12 * second, Unknown, false},
+		{"may not be repeated", 0, unknown, second, Unknown, false},
+		{"may be repeated at any time", AnyTime, unknown, 1000 * second, Claimed, false},
+		{"certainly not run", 0, func(f uint64) Entry { return Entry{Outcome: &Outcome{Dispatch: "d", Fence: f, NotRun: true}} }, 1000 * second, Claimed, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(cordon.Budget{Share: 1}, 1000)
+			s.Apply(enrolEntry("n0", "t", lease.Hold), 1)
+			const start = 1_000_000 * second
+			s.applyChange(1, "1", ruleset.Change{Kind: ruleset.KindDispatch, Name: "d", Dispatch: &ruleset.Dispatch{Site: "x", Class: "post", Target: "/",
+				Earliest: 1, Latest: start + 10_000*second, Worth: 1, ExpectedDurationMs: 3000}})
+			s.Apply(Entry{Term: 1, Activate: &Activate{Version: s.Ruleset.Document.Head.Version}}, 1)
+			view := LeaderView{Leases: lease.NewTracker(terms, 0), ListServers: threeServers, UnixMs: start, Schedule: schedule.DefaultSettings(),
+				RepeatWindows: map[string]map[string]int64{"n0": {"post": c.window}}}
+			view.Leases.RecordBeat(0, "n0", 1, s.Ruleset.Document.Head.Version, terms.Length)
+			step := func(at int64) {
+				view.UnixMs = at
+				for _, e := range s.Due(view) {
+					e.Term, e.At = 1, at
+					if r := s.Apply(e, 1); r.Refused != "" {
+						t.Errorf("%+v: %s", e, r.Refused)
+					}
+				}
+			}
+			step(start)
+			first := s.Tasks("n0", 1)
+			if len(first) != 1 || first[0].RepeatUntilMs != 0 {
+				t.Fatalf("first tasks %+v", first)
+			}
+			s.Apply(c.end(first[0].Fence), 1)
+			step(start + c.again)
+			if got := s.Dispatches["d"]; got.Progress != c.want {
+				t.Fatalf("after the first try: %+v, want %s", got, c.want)
+			}
+			if tasks := s.Tasks("n0", 1); c.want == Claimed && (len(tasks) != 1 || (tasks[0].RepeatUntilMs > 0) != c.limited || tasks[0].RepeatUntilMs > start+c.window) {
+				t.Errorf("second tasks %+v", tasks)
+			}
+			if c.want != Unknown {
+				return
+			}
+			step(start + c.again + 100*second)
+			if len(s.Tasks("n0", 1)) != 0 || s.Dispatches["d"].Reason == "" {
+				t.Errorf("unknown work: %+v, tasks %+v", s.Dispatches["d"], s.Tasks("n0", 1))
+			}
+			if s.Apply(Entry{Outcome: &Outcome{Dispatch: "d", Fence: first[0].Fence, Done: true}}, 1); s.Dispatches["d"].Progress != Done {
+				t.Errorf("after a late outcome: %+v", s.Dispatches["d"])
+			}
+		})
+	}
+}
+
+// Failed tries in the stored state of an earlier build, which did not record whether they may have run, are not repeated.
+func TestRestoreCountsUnrecordedTries(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	s.Dispatches["tried"] = DispatchState{Progress: Free, Failures: 1, LastTriedMs: 5}
+	s.Dispatches["new"] = DispatchState{Progress: Free}
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Restore(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tried := got.Dispatches["tried"]; !tried.MayHaveRun || tried.FirstTriedMs != 5 || got.Dispatches["new"].MayHaveRun {
+		t.Errorf("restored as %+v", got.Dispatches)
+	}
+}
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -24,13 +24,15 @@
 	Dispatch    string `json:"dispatch"`
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"life"`
+	WindowMs    int64  `json:"window_ms,omitempty"` // see DispatchState
 }
 
 // Outcome is an owner's report on how its try ended.
 type Outcome struct {
 	Dispatch string `json:"dispatch"`
 	Fence    uint64 `json:"fence"`
-	Done     bool   `json:"done"` // the receiver has it; if false, the result of the try is unknown
+	Done     bool   `json:"done"`              // the receiver has it
+	NotRun   bool   `json:"not_run,omitempty"` // the receiver certainly has not run it; without Done and NotRun the result is unknown
 }
 
 // Reclaim ends a claim because its owner's lease has expired.
@@ -53,9 +55,17 @@
 	Free    Progress = "free"    // no dispatcher has claimed it
 	Claimed Progress = "claimed" // its owner may be sending it
 	Done    Progress = "done"    // the receiver has it
-	Dropped Progress = "dropped" // it was given up
+	Dropped Progress = "dropped" // it was given up, and has not run
+	Unknown Progress = "unknown" // it may have run and can't be repeated safely: an operator has to find out
 )
 
+// AnyTime is the repeat window of classes that may be repeated at any time.
+const AnyTime = -1
+
+// repeatMarginMs is how long before the end of a repeat window no try begins any more, in milliseconds: a try takes time from
+// its decision to its receiver, and the clocks of machines differ a little.
+const repeatMarginMs = 1000
+
 // DispatchState is a dispatch in the replicated state.
 type DispatchState struct {
 	Progress    Progress `json:"progress"`
@@ -67,11 +77,34 @@
 	Reason      string   `json:"why,omitempty"` // why it was given up
 	ChangedMs   int64    `json:"at_ms"`
 
+	// Receivers drop a repeat for WindowMs after a first try that may have run; AnyTime: always; zero: never. FirstTriedMs is
+	// the earliest time at which bytes of such a try may have left, in Unix ms.
+	WindowMs     int64 `json:"window_ms,omitempty"`
+	FirstTriedMs int64 `json:"first_tried_ms,omitempty"`
+	MayHaveRun   bool  `json:"may_have_run,omitempty"` // the result of a try that has ended is unknown
+
 	// Generation is the least fence of a claim of the present work. Claims with lower fences are of work of the same name that
 	// was withdrawn while they were in force. Zero: there was none.
 	Generation uint64 `json:"generation,omitempty"`
 }
 
+// repeatUntil returns the latest time at which a try may be sent, in Unix ms, and false if there is no limit.
+func (d DispatchState) repeatUntil() (unixMs int64, limited bool) {
+	if !d.MayHaveRun || d.WindowMs == AnyTime {
+		return 0, false
+	}
+	return d.FirstTriedMs + d.WindowMs - repeatMarginMs, true
+}
+
+// withUnrecordedTries returns the state as this build would have it if an earlier one wrote it, which did not record when a
+// try may have run: each failed try counts as one that can't be repeated safely any more.
+func (d DispatchState) withUnrecordedTries() DispatchState {
+	if d.FirstTriedMs == 0 && d.Failures > 0 {
+		d.FirstTriedMs, d.MayHaveRun = d.LastTriedMs, true
+	}
+	return d
+}
+
 // claimIsOfEarlierWork reports whether the present claim is of work that was withdrawn.
 func (d DispatchState) claimIsOfEarlierWork() bool { return d.Fence < d.Generation }
 
@@ -93,7 +126,7 @@
 	if !exists {
 		dispatch.Progress = Free
 	}
-	isFinal := dispatch.Progress == Done || dispatch.Progress == Dropped
+	isFinal := dispatch.Progress == Done || dispatch.Progress == Dropped || dispatch.Progress == Unknown
 	switch {
 	case e.Claim != nil:
 		if m, ok := s.Members[e.Claim.Name]; !planned || dispatch.Progress != Free || !ok || m.Incarnation != e.Claim.Incarnation || e.Claim.Incarnation == 0 {
@@ -101,17 +134,20 @@
 		}
 		s.LastFence++
 		dispatch.Progress, dispatch.Owner, dispatch.Incarnation, dispatch.Fence, dispatch.LastTriedMs = Claimed, e.Claim.Name, e.Claim.Incarnation, s.LastFence, e.At
+		if !dispatch.MayHaveRun {
+			dispatch.FirstTriedMs, dispatch.WindowMs = e.At, e.Claim.WindowMs
+		}
 	case e.Outcome != nil && e.Outcome.Done && e.Outcome.Fence >= dispatch.Generation:
 		if !exists { // it was withdrawn in the meantime
 			return Result{Refused: "no such dispatch"}
 		}
 		dispatch.Progress, dispatch.Reason = Done, "" // the receiver has it, whichever owner sent it
 	case e.Outcome != nil:
-		if !dispatch.endClaim(e.Outcome.Fence) {
+		if !dispatch.endClaim(e.Outcome.Fence, !e.Outcome.NotRun) {
 			return Result{Refused: "another has it by now"}
 		}
 	case e.Reclaim != nil:
-		if !dispatch.endClaim(e.Reclaim.Fence) {
+		if !dispatch.endClaim(e.Reclaim.Fence, true) {
 			return Result{Refused: "another has it by now"}
 		}
 	default:
@@ -119,6 +155,9 @@
 			return Result{Refused: "not to be given up"}
 		}
 		dispatch.Progress, dispatch.Reason = Dropped, e.Drop.Reason
+		if dispatch.MayHaveRun {
+			dispatch.Progress = Unknown
+		}
 	}
 	dispatch.ChangedMs = e.At
 	s.Dispatches[name] = dispatch
@@ -126,15 +165,16 @@
 	return Result{}
 }
 
-// endClaim ends the claim with a fence without a result, and reports whether it was the present one. The try counts only if it
-// was one of the present work.
-func (d *DispatchState) endClaim(fence uint64) bool {
+// endClaim ends the claim with a fence, whose try was not a success, and reports whether it was the present one. The try counts
+// only if it was one of the present work.
+func (d *DispatchState) endClaim(fence uint64, mayHaveRun bool) bool {
 	if d.Progress != Claimed || d.Fence != fence {
 		return false
 	}
 	d.Progress = Free
 	if !d.claimIsOfEarlierWork() {
 		d.Failures++
+		d.MayHaveRun = d.MayHaveRun || mayHaveRun
 	}
 	return true
 }
@@ -150,7 +190,7 @@
 			delete(s.Dispatches, name)
 			continue
 		}
-		dispatch.Generation, dispatch.Failures = s.LastFence+1, 0
+		dispatch.Generation, dispatch.Failures, dispatch.MayHaveRun = s.LastFence+1, 0, false
 		s.Dispatches[name] = dispatch
 	}
 }
@@ -218,10 +258,14 @@
 	}
 	for name, planned := range s.Ruleset.Document.Rules.Dispatches {
 		dispatch := s.Dispatches[name]
-		if dispatch.Progress == Done || dispatch.Progress == Dropped {
+		if dispatch.Progress == Done || dispatch.Progress == Dropped || dispatch.Progress == Unknown {
 			continue
 		}
-		jobs = append(jobs, schedule.Job{ID: name, Site: planned.Site, Earliest: planned.Earliest, Latest: planned.Latest, Worth: planned.Worth,
+		latest := planned.Latest
+		if until, limited := dispatch.repeatUntil(); limited {
+			latest = min(latest, until+int64(planned.ExpectedDurationMs))
+		}
+		jobs = append(jobs, schedule.Job{ID: name, Site: planned.Site, Earliest: planned.Earliest, Latest: latest, Worth: planned.Worth,
 			ExpectedDuration: time.Duration(planned.ExpectedDurationMs * float64(time.Millisecond)), LastTriedMs: dispatch.LastTriedMs, FailedTries: dispatch.Failures, InFlight: dispatch.Progress == Claimed})
 	}
 	if len(jobs) == 0 {
@@ -231,11 +275,16 @@
 	for _, decision := range decisions {
 		switch decision.Verdict {
 		case schedule.GiveUp:
-			out = append(out, Entry{Drop: &Drop{Dispatch: decision.Job, Reason: decision.Reason}})
+			drop := Drop{Dispatch: decision.Job, Reason: decision.Reason}
+			if s.Dispatches[decision.Job].MayHaveRun {
+				drop.Reason = "a try has no known result, and its receivers may not drop a repeat any more"
+			}
+			out = append(out, Entry{Drop: &drop})
 		case schedule.Try:
 			if name := s.chooseOwner(view, decision.Job, claims); name != "" {
 				claims[name]++
-				out = append(out, Entry{Claim: &Claim{Dispatch: decision.Job, Name: name, Incarnation: s.Members[name].Incarnation}})
+				out = append(out, Entry{Claim: &Claim{Dispatch: decision.Job, Name: name, Incarnation: s.Members[name].Incarnation,
+					WindowMs: view.RepeatWindows[name][s.Ruleset.Document.Rules.Dispatches[decision.Job].Class]}})
 			}
 		}
 	}
@@ -281,7 +330,8 @@
 	for _, d := range slices.Sorted(maps.Keys(s.Dispatches)) {
 		x := s.Dispatches[d]
 		if plan, ok := s.Ruleset.Document.Rules.Dispatches[d]; ok && x.Progress == Claimed && !x.claimIsOfEarlierWork() && x.Owner == name && x.Incarnation == incarnation {
-			out = append(out, Task{Dispatch: d, Fence: x.Fence, Generation: x.Generation, Plan: plan})
+			until, _ := x.repeatUntil()
+			out = append(out, Task{Dispatch: d, Fence: x.Fence, Generation: x.Generation, RepeatUntilMs: until, Plan: plan})
 		}
 	}
 	return out
@@ -293,6 +343,8 @@
 	Fence    uint64           `json:"fence"`
 	Plan     ruleset.Dispatch `json:"work"`
 
+	RepeatUntilMs int64 `json:"repeat_until_ms,omitempty"` // Unix ms after which nothing may be sent, since an earlier try may have run; zero: no limit
+
 	Generation uint64 `json:"generation,omitempty"` // distinguishes work that was planned under the name of withdrawn work
 }
 
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -37,6 +37,8 @@
 	if c == nil {
 		return failure
 	}
+	// From here on the request counts as sent, also if it is given up below: whoever ends it now can't know any better.
+	a.Exchange.MarkSent()
 	// While the connection was being made, the request may have ended, its client left, or the host started to drain.
 	if a.Exchange.Ended() || a.Exchange.Abandoned() || ctx.Err() != nil || !p.admitSend(h, a) {
 		p.counters.Inc("attempts.given_up_unsent")
@@ -49,7 +51,6 @@
 		p.putIdle(h, c)
 		return gateway.Result{Outcome: logic.NotSent}
 	}
-	a.Exchange.MarkSent()
 	text, body := encodeRequest(a)
 	r := p.execute(ctx, h, c, text, body, a.Exchange.DispatchID)
 	if r.Outcome == logic.OK || r.AnswerBegun {
