--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -266,14 +266,19 @@
 	return l.submit(ctx, writeRequest{note: &n, result: make(chan error, 1)})
 }
 
-// submit passes a request to the writer and waits for its result.
+// submit passes a request to the writer and waits for its result. A request is passed on even if ctx has ended, unless the
+// queue is full: the answer that it is about may go out all the same.
 func (l *Ledger) submit(ctx context.Context, request writeRequest) error {
 	select {
 	case l.queue <- request:
-	case <-l.done:
-		return ErrNotWritable
-	case <-ctx.Done():
-		return ctx.Err()
+	default:
+		select {
+		case l.queue <- request:
+		case <-l.done:
+			return ErrNotWritable
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	select {
 	case err := <-request.result:
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -489,3 +489,28 @@
 		})
 	}
 }
+
+// A use is counted although its time is over when it comes, as long as the ledger has room for it. It guards against
+// answers that clients get and that the ledger neither counts nor names as unconfirmed.
+func TestUseIsCountedPastItsTime(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger")
+	l := openLedger(t, path, options())
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+	const uses = 100
+	for range uses {
+		serial, err := l.Count(ended, usage.Use{Tenant: "a", Class: "read", Attempts: 1})
+		if err != nil && !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+		l.Confirm(serial)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	l = openLedger(t, path, options())
+	defer l.Close()
+	if n := requests(l.View()); n != uses {
+		t.Errorf("%d of %d uses are counted", n, uses)
+	}
+}
