--- a/internal/decide/usage/usage.go
+++ b/internal/decide/usage/usage.go
@@ -104,8 +104,7 @@
 // Book holds the accounts of one instance.
 type Book struct {
 	settings    Settings
-	tenants     map[string]bool
-	classes     map[string]bool
+	names       Names
 	open        Period // the oldest open period: all periods before it are closed
 	pages       map[Period]*page
 	corrections map[string]Note // by key
@@ -123,15 +122,35 @@
 	if s.Period <= 0 || s.Grace < 0 {
 		return nil, fmt.Errorf("accounts: period %v and grace %v: need more than 0, and 0 or more", s.Period, s.Grace)
 	}
-	b := &Book{settings: s, tenants: map[string]bool{}, classes: map[string]bool{}, open: s.PeriodAt(now.Add(-s.Grace)),
-		pages: map[Period]*page{}, corrections: map[string]Note{}}
+	return &Book{settings: s, names: NewNames(s), open: s.PeriodAt(now.Add(-s.Grace)), pages: map[Period]*page{},
+		corrections: map[string]Note{}}, nil
+}
+
+// Names are the tenants and classes that have accounts of their own at present. They are safe for concurrent use.
+type Names struct{ tenants, classes map[string]bool }
+
+// NewNames returns the names of the settings.
+func NewNames(s Settings) Names {
+	n := Names{tenants: map[string]bool{}, classes: map[string]bool{}}
 	for _, t := range s.Tenants {
-		b.tenants[t] = true
+		n.tenants[t] = true
 	}
 	for _, c := range s.Classes {
-		b.classes[c] = true
+		n.classes[c] = true
+	}
+	return n
+}
+
+// Recorded returns a use under the names under which it is recorded. All names that are not in the settings are replaced by
+// Other, so two thousand unknown tenants make one line.
+func (n Names) Recorded(u Use) Use {
+	if !n.tenants[u.Tenant] {
+		u.Tenant = Other
 	}
-	return b, nil
+	if !n.classes[u.Class] {
+		u.Class = Other
+	}
+	return u
 }
 
 // Open returns the oldest open period.
@@ -152,18 +171,6 @@
 	return closed
 }
 
-// accountFor returns the account of a use. All names that are not in the settings are replaced by Other, so two thousand
-// unknown tenants make one line.
-func (b *Book) accountFor(tenant, class string, o Outcome) Account {
-	if !b.tenants[tenant] {
-		tenant = Other
-	}
-	if !b.classes[class] {
-		class = Other
-	}
-	return Account{tenant, class, min(o, outcomeCount-1)}
-}
-
 func (b *Book) page(p Period) *page {
 	if b.pages[p] == nil {
 		b.pages[p] = &page{sums: map[Account]Sum{}}
@@ -173,8 +180,11 @@
 
 // Add counts a final answer in the period in which it was given, whenever the request arrived. If that period has closed,
 // Add counts it as late in the oldest open period. It returns the period in which the answer was entered.
-func (b *Book) Add(at time.Time, u Use) Period {
-	a := b.accountFor(u.Tenant, u.Class, u.Outcome)
+func (b *Book) Add(at time.Time, u Use) Period { return b.AddRecorded(at, b.names.Recorded(u)) }
+
+// AddRecorded is Add for a use that was recorded before: it keeps its names, which the settings may not name any more.
+func (b *Book) AddRecorded(at time.Time, u Use) Period {
+	a := Account{u.Tenant, u.Class, min(u.Outcome, outcomeCount-1)}
 	sum := Sum{1, u.Attempts, u.Work, u.Worth}
 	p := b.settings.PeriodAt(at)
 	if p >= b.open {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -64,6 +64,7 @@
 // Ledger is an open ledger. Its methods are safe for use by several goroutines.
 type Ledger struct {
 	opts      Options
+	names     usage.Names
 	db        *bolt.DB
 	mu        sync.Mutex // guards state
 	state     *state
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Ledger{opts: opts, db: db, state: st, queue: make(chan writeRequest, opts.Limits.QueueSize), done: make(chan struct{})}
+	l := &Ledger{opts: opts, names: usage.NewNames(opts.Accounts), db: db, state: st, queue: make(chan writeRequest, opts.Limits.QueueSize), done: make(chan struct{})}
 	st.opening = Opening{Instance: opts.Instance, Incarnation: st.opening.Incarnation + 1}
 	opening := st.opening
 	if err := l.write(Record{Opened: &opening}); err != nil {
@@ -248,7 +249,7 @@
 // Count makes a use durable, so that its answer may go out, and returns the serial that Confirm needs. If the disk fails,
 // the error wraps ErrNotWritable.
 func (l *Ledger) Count(ctx context.Context, u usage.Use) (uint64, error) {
-	use := &Use{Serial: l.serial.Add(1), UnixNs: l.opts.Now().UnixNano(), Use: u}
+	use := &Use{Serial: l.serial.Add(1), UnixNs: l.opts.Now().UnixNano(), Use: l.names.Recorded(u)}
 	return use.Serial, l.submit(ctx, writeRequest{use: use, result: make(chan error, 1)})
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -514,3 +514,42 @@
 		t.Errorf("%d of %d uses are counted", n, uses)
 	}
 }
+
+// Usage keeps the name under which it was recorded, whatever tenants and classes the settings name at a later start, and
+// whether or not a snapshot is written then. It guards against usage of closed periods that moves to another account.
+func TestUsageKeepsItsName(t *testing.T) {
+	for _, snapshotEvery := range []uint64{4, 1000} {
+		path := filepath.Join(t.TempDir(), "ledger")
+		recorded := map[string]int64{}
+		for _, tenants := range [][]string{{"a", "b"}, {"b"}, {}, {"a", "b"}} {
+			o := options()
+			o.Accounts.Tenants, o.Limits.SnapshotEvery = tenants, snapshotEvery
+			l := openLedger(t, path, o)
+			for _, tenant := range append([]string{"nobody"}, tenants...) {
+				for range 5 {
+					l.Confirm(countUse(t, l, tenant))
+				}
+				if tenant == "nobody" {
+					tenant = usage.Other
+				}
+				recorded[tenant] += 5
+			}
+			if err := l.Close(); err != nil {
+				t.Fatal(err)
+			}
+			l = openLedger(t, path, o)
+			got := map[string]int64{}
+			for _, s := range l.View().Statements {
+				for _, line := range s.Lines {
+					got[line.Tenant] += line.Corrected.Requests
+				}
+			}
+			if err := l.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if fmt.Sprint(got) != fmt.Sprint(recorded) {
+				t.Errorf("a snapshot every %d records, tenants %v: %v, want %v", snapshotEvery, tenants, got, recorded)
+			}
+		}
+	}
+}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -94,7 +94,7 @@
 			return fmt.Errorf("entry %d: %w: it confirms use %d, which is not among the unconfirmed uses", r.Sequence, errCorrupt, serial)
 		}
 		delete(s.unconfirmed, serial)
-		s.book.Add(time.Unix(0, u.UnixNs), u.Use)
+		s.book.AddRecorded(time.Unix(0, u.UnixNs), u.Use)
 	}
 	if r.Note != nil {
 		if _, err := s.book.Correct(time.Unix(0, r.UnixNs), *r.Note); err != nil {
