--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -20,8 +20,6 @@
 const (
 	// baseBuffer is the size of a connection's first buffer for received bytes, which the memory budget does not count.
 	baseBuffer = 1 << 10
-	// lastReadTime is how long a connection whose time is over is read once more, for bytes that have already arrived.
-	lastReadTime = time.Millisecond
 	// A connection may send this many requests at once, and this many a second, that are not served by a host. Further ones
 	// wait before they are read, since they cost as much time of the processor as those that are served.
 	unservedBurst, unservedPerSecond = 10, 50
@@ -51,7 +49,6 @@
 	scanner       headScanner // of the head that is arriving
 	passable      int64       // how many of the next bytes may be passed: the rest of a head and its body
 	arriving      bool        // a request has begun to arrive and is not yet complete
-	lastRead      bool        // its time is over: only what has already arrived is read
 	writeDeadline time.Time   // the current write deadline
 	hadRequest    bool        // a request has been received
 	pipelined     bool        // the present request had begun to arrive before the last answer was written
@@ -101,7 +98,7 @@
 	}
 	c.passable -= int64(n)
 	if c.arriving && c.passable <= int64(len(c.received)) {
-		c.arriving, c.lastRead = false, false
+		c.arriving = false
 		c.table.requestReceived(c)
 	}
 	return n, err
@@ -156,7 +153,7 @@
 			deadline = latest
 		}
 	}
-	c.arriving, c.lastRead = true, false
+	c.arriving = true
 	c.table.requestBegun(c, deadline)
 }
 
@@ -223,20 +220,18 @@
 	}
 }
 
-// receive reads from the kernel. When the deadline has passed it reads once more, since bytes that arrived before it are
-// otherwise lost.
+// receive reads from the kernel. When the deadline has passed it reads what has arrived nevertheless: on a busy machine a
+// whole request may have come long before.
 func (c *conn) receive(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		c.extendWriteDeadline()
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.lastRead {
-			return n, err
-		}
-		c.lastRead = true
-		if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
-			return 0, err
-		}
+	n, err := c.Conn.Read(b)
+	c.extendWriteDeadline()
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if n = sockstat.ReadArrived(c.Conn, b); n > 0 {
+		return n, nil
 	}
+	return 0, err
 }
 
 // growBuffer makes room for at least one more received byte, and reports whether there is memory for it. The buffer holds
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -234,11 +234,12 @@
 			return true
 		}
 	}
-	return false
+	return t.memory.Reserve(bytes, spare) // those that were evicted may have released theirs in the meantime
 }
 
-// evictForMemory evicts the oldest connection that holds memory for an incomplete request, unless one is being evicted
-// for that already, and reports whether it makes sense for a connection to wait for memory.
+// evictForMemory evicts the oldest connection that holds memory for an incomplete request which has waited longer than the
+// given one, unless one is being evicted for that already: a request that arrives quickly is not evicted for one that has
+// stalled. It reports whether it makes sense for the connection to wait for memory.
 func (t *connTable) evictForMemory(waiting *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -248,16 +249,22 @@
 	if victim := t.memoryVictim; victim != nil && victim.evicting && time.Since(t.memoryVictimSince) < memoryEvictionTime {
 		return true
 	}
+	othersHoldMemory := t.evictingCount > 0
 	for _, l := range []*list.List{t.awaitingBody, t.awaitingHead} {
 		for e := l.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*conn); c != waiting && c.reserved.Load()+c.bodyBytes.Load() > 0 {
+			c := e.Value.(*conn)
+			if c == waiting || c.reserved.Load()+c.bodyBytes.Load() == 0 {
+				continue
+			}
+			othersHoldMemory = true
+			if c.listedSince.Before(waiting.listedSince) {
 				t.removeFromList(c)
 				t.memoryVictim, t.memoryVictimSince = c, time.Now()
 				return t.evict(c)
 			}
 		}
 	}
-	return t.evictingCount > 0
+	return othersHoldMemory
 }
 
 // mustCloseAfterAnswer reports whether the answer to a connection's present request has to close the connection: either
--- a/internal/decide/backoff/backoff_test.go
+++ b/internal/decide/backoff/backoff_test.go
@@ -166,3 +166,20 @@
 		}
 	}
 }
+
+// Where lists are asked for, a watch that has fallen silent is opened anew before its router counts as told of what it
+// missed, 6 s after it fell silent. It guards against requests to servers whose drain the router has missed.
+func TestSilentWatchIsReopenedInTime(t *testing.T) {
+	const told, noticedAfter, answer = 6 * time.Second, 5 * time.Second, 200 * time.Millisecond // noticedAfter: config.Limits.DiscoverySilenceTimeout
+	late, worst := 0, time.Duration(0)
+	for i := range 300 {
+		p := New(ForDiscovery(sharedDiscovery(i, 300), uint64(i)+1), false)
+		p.RecordSuccess()
+		if pause, _ := p.RecordFailure(); noticedAfter+pause+answer > told {
+			late, worst = late+1, max(worst, noticedAfter+pause+answer-told)
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of 300 routers open their watch too late, by %v at most", late, worst)
+	}
+}
--- a/internal/sockstat/sockstat.go
+++ b/internal/sockstat/sockstat.go
@@ -47,6 +47,25 @@
 	return ago
 }
 
+// ReadArrived reads what the kernel holds of a connection, without waiting and whatever deadline is set. It returns zero if
+// nothing has arrived, if the connection has ended, or if it has no descriptor.
+func ReadArrived(c net.Conn, b []byte) (bytes int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	rc.Control(func(fd uintptr) { // its error, of a closed connection, means that there is nothing to read
+		if n, _, err := syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // Unread returns the number of bytes that have arrived on a connection and were not read, or zero if that is not available.
 func Unread(c net.Conn) (bytes int) {
 	sc, ok := c.(syscall.Conn)
