--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -134,7 +134,8 @@
 
 // evictForRoom evicts one connection if descriptors are short, and reports whether it did. Those that have not sent a
 // whole request go first, since hundreds of them would otherwise push out connections that serve requests: the oldest that
-// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, for EvictIncompleteAfter. Then come, if a
+// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, whose request has been incomplete for
+// EvictIncompleteAfter. Then come, if a
 // new one waits, those that have their last answer and only wait for their client to close, and then the one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a moment ago
 // may well have its next request under way. Connections already being evicted count as gone: on a busy machine they take
 // time to close, and evicting others meanwhile would close many that clients still want. The cost: while descriptors are
@@ -161,14 +162,26 @@
 	return t.awaitingHead.Len()+t.awaitingBody.Len()+t.lingering.Len() > t.limits.ClientConns/4
 }
 
-// evictIncomplete evicts the connection that has waited longest to complete its request, if for at least minAge, and
-// reports whether there was one. The caller holds the lock.
+// evictIncomplete evicts a connection whose request has been incomplete for at least minAge, or that has sent nothing for
+// EvictSilentAfter, the oldest first, and reports whether there was one. On a busy machine a client may take a while
+// between its connection and its request. The caller holds the lock.
 func (t *connTable) evictIncomplete(minAge time.Duration) bool {
-	oldest := t.awaitingHead
-	if head, body := t.awaitingHead.Front(), t.awaitingBody.Front(); head == nil || body != nil && body.Value.(*conn).listedSince.Before(head.Value.(*conn).listedSince) {
-		oldest = t.awaitingBody
+	if t.evictOldest(t.awaitingBody, minAge) {
+		return true
 	}
-	return t.evictOldest(oldest, minAge)
+	for e := t.awaitingHead.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		age, isSilent := time.Since(c.listedSince), c.requestDeadline.IsZero()
+		if age < minAge {
+			return false
+		}
+		if isSilent && age < t.limits.EvictSilentAfter {
+			continue
+		}
+		t.removeFromList(c)
+		return t.evict(c)
+	}
+	return false
 }
 
 // evictOldest evicts the oldest connection that has been in a list for at least minAge, and reports whether there was one.
@@ -238,8 +251,8 @@
 }
 
 // evictForMemory evicts the oldest connection that holds memory for an incomplete request which has waited longer than the
-// given one, unless one is being evicted for that already: a request that arrives quickly is not evicted for one that has
-// stalled. It reports whether it makes sense for the connection to wait for memory.
+// given one, or for EvictIncompleteAfter, unless one is being evicted for that already: a request that arrives quickly is
+// not evicted for one that has stalled. It reports whether it makes sense for the connection to wait for memory.
 func (t *connTable) evictForMemory(waiting *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -257,7 +270,7 @@
 				continue
 			}
 			othersHoldMemory = true
-			if c.listedSince.Before(waiting.listedSince) {
+			if c.listedSince.Before(waiting.listedSince) || time.Since(c.listedSince) >= t.limits.EvictIncompleteAfter {
 				t.removeFromList(c)
 				t.memoryVictim, t.memoryVictimSince = c, time.Now()
 				return t.evict(c)
