--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -43,6 +43,7 @@
 	acceptedAt time.Time
 	reserved   atomic.Int64 // bytes of the memory budget that its buffer holds
 	bodyBytes  atomic.Int64 // bytes of the memory budget that the body of its present request holds
+	heads      atomic.Int64 // how many heads of requests have been passed to net/http
 
 	// The fields below belong to the goroutine that reads: net/http has only one at a time.
 	received      []byte      // received, and not yet passed to net/http
@@ -65,6 +66,7 @@
 	answering       bool          // a request head has been read and its answer is not yet written
 	requestDeadline time.Time     // when the request that is arriving has to be complete; zero: none is arriving
 	hangup          chan struct{} // for the request being answered: closed when net/http can't detect that its client hangs up
+	endReason       endReason     // why it ends; empty: it is open, or net/http closed it
 }
 
 // Read passes bytes to net/http, as described at conn.
@@ -124,6 +126,7 @@
 			if c.passable > int64(len(c.received)) {
 				c.table.headReceived(c)
 			}
+			c.heads.Add(1)
 			return nil
 		}
 		if !c.growBuffer(c.table.limits.MaxHead+baseBuffer, c.reserveForRequest) {
@@ -160,6 +163,9 @@
 // endedAwaitingHead releases the buffer of a connection that ends before a whole head has arrived, and returns the error
 // for net/http.
 func (c *conn) endedAwaitingHead(err error) error {
+	c.table.mu.Lock()
+	c.setEndReason(reasonOfReadError(err))
+	c.table.mu.Unlock()
 	if len(c.received) == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.table.counters.Inc("clients.ended_idle")
 		err = io.EOF
@@ -173,6 +179,7 @@
 	c.table.counters.Inc(fmt.Sprintf("requests.bad_%d", reqErr.status))
 	c.table.mu.Lock()
 	c.answering = true // the connection is closed as after any answer
+	c.setEndReason(endedByBadHead)
 	c.table.mu.Unlock()
 	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s\n", reqErr.status,
 		http.StatusText(reqErr.status), len(reqErr.message)+1, reqErr.message) // an error means that the client has gone
@@ -379,6 +386,7 @@
 
 // closeDescriptor closes the descriptor, takes the connection off the table's total and wakes waitForDescriptor.
 func (c *conn) closeDescriptor() error {
+	c.traceEnd()
 	err := c.Conn.Close()
 	c.table.mu.Lock()
 	c.table.total--
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -29,6 +29,7 @@
 type connTable struct {
 	limits   config.Limits
 	counters *metrics.Registry
+	log      *zap.Logger
 	shortage shortageLog
 	memory   *memory.Budget
 
@@ -48,7 +49,7 @@
 
 // newConnTable returns an empty table.
 func newConnTable(limits config.Limits, counters *metrics.Registry, log *zap.Logger) *connTable {
-	return &connTable{limits: limits, counters: counters, shortage: shortageLog{log: log}, memory: memory.NewBudget(limits.RequestMemory),
+	return &connTable{limits: limits, counters: counters, log: log, shortage: shortageLog{log: log}, memory: memory.NewBudget(limits.RequestMemory),
 		awaitingHead: list.New(), awaitingBody: list.New(), idle: list.New(), lingering: list.New(), descriptorFreed: make(chan struct{}, 1)}
 }
 
@@ -86,6 +87,7 @@
 		t.addToList(c, t.awaitingHead)
 	}
 	c.setEvicting(false)
+	c.endReason = ""
 	c.requestDeadline = deadline
 	c.Conn.SetReadDeadline(deadline) // fails only on a closed connection
 }
@@ -106,6 +108,7 @@
 	c.requestDeadline = time.Time{}
 	if c.evicting {
 		c.setEvicting(false)
+		c.endReason = ""
 		c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
 }
@@ -179,7 +182,10 @@
 			continue
 		}
 		t.removeFromList(c)
-		return t.evict(c)
+		if isSilent {
+			return t.evict(c, evictedSilent)
+		}
+		return t.evict(c, evictedPartial)
 	}
 	return false
 }
@@ -197,16 +203,29 @@
 		if l == t.idle && !sockstat.OpenAndEmpty(c.Conn) { // its next request waits to be read, or the client has closed it
 			continue
 		}
-		if t.evict(c) {
+		if t.evict(c, t.evictionReason(c, l)) {
 			return true
 		}
 	}
 	return false
 }
 
+// evictionReason returns why a connection that was in a list is evicted to make room. The caller holds the lock.
+func (t *connTable) evictionReason(c *conn, l *list.List) endReason {
+	switch {
+	case l == t.idle:
+		return evictedIdle
+	case l == t.lingering:
+		return evictedLinger
+	case l == t.awaitingHead && c.requestDeadline.IsZero():
+		return evictedSilent
+	}
+	return evictedPartial
+}
+
 // evict wakes the reader of a connection, which closes it unless a whole request has arrived, and reports whether the
 // connection was open. The caller holds the lock.
-func (t *connTable) evict(c *conn) bool {
+func (t *connTable) evict(c *conn, reason endReason) bool {
 	lingering := c.closed
 	if !lingering {
 		c.setEvicting(true)
@@ -214,6 +233,7 @@
 	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		return false
 	}
+	c.setEndReason(reason)
 	t.counters.Inc(map[bool]string{true: "clients.linger_cut", false: "clients.evicted"}[lingering])
 	return true
 }
@@ -273,7 +293,7 @@
 			if c.listedSince.Before(waiting.listedSince) || time.Since(c.listedSince) >= t.limits.EvictIncompleteAfter {
 				t.removeFromList(c)
 				t.memoryVictim, t.memoryVictimSince = c, time.Now()
-				return t.evict(c)
+				return t.evict(c, evictedForBytes)
 			}
 		}
 	}
