--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -428,6 +428,9 @@
 	return nil
 }
 
+// isSilent reports whether a connection that awaits a request has received none of it yet. The caller holds the table's lock.
+func (c *conn) isSilent() bool { return c.requestDeadline.IsZero() }
+
 // setEvicting marks or unmarks the connection for eviction. The caller holds the table's lock.
 func (c *conn) setEvicting(evicting bool) {
 	if c.evicting != evicting {
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -136,24 +136,23 @@
 }
 
 // evictForRoom evicts one connection if descriptors are short, and reports whether it did. Those that have not sent a
-// whole request go first, since hundreds of them would otherwise push out connections that serve requests: the oldest that
-// has waited for EvictSilentAfter, or, if a new connection waits for a descriptor, whose request has been incomplete for
-// EvictIncompleteAfter. Then come, if a
-// new one waits, those that have their last answer and only wait for their client to close, and then the one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a moment ago
-// may well have its next request under way. Connections already being evicted count as gone: on a busy machine they take
-// time to close, and evicting others meanwhile would close many that clients still want. The cost: while descriptors are
-// short, a client whose request takes longer to arrive may lose its connection.
+// whole request go first, since hundreds of them would otherwise push out connections that serve requests. Then come, if a
+// new connection waits for a descriptor, those that have their last answer and only wait for their client to close, and
+// then the one idle longest, if for EvictIdleAfter: clients may see a connection close between requests, but one used a
+// moment ago may well have its next request under way. Connections already being evicted count as gone: on a busy machine
+// they take time to close, and evicting others meanwhile would close many that clients still want. The cost: while
+// descriptors are short, a client whose request takes longer to arrive may lose its connection.
 func (t *connTable) evictForRoom(newOneWaits bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wanted, minAge := t.limits.ClientConns-t.limits.SpareClientConns, t.limits.EvictSilentAfter
+	wanted, incompleteFor := t.limits.ClientConns-t.limits.SpareClientConns, t.limits.EvictSilentAfter
 	if newOneWaits {
-		wanted, minAge = min(wanted, t.limits.ClientConns-1), min(minAge, t.limits.EvictIncompleteAfter)
+		wanted, incompleteFor = min(wanted, t.limits.ClientConns-1), min(incompleteFor, t.limits.EvictIncompleteAfter)
 	}
 	if t.total-t.evictingCount <= wanted {
 		return false
 	}
-	if t.evictIncomplete(minAge) || newOneWaits && t.evictOldest(t.lingering, t.limits.EvictIdleAfter) {
+	if t.evictIncomplete(incompleteFor) || t.evictSilent() || newOneWaits && t.evictOldest(t.lingering, t.limits.EvictIdleAfter) {
 		return true
 	}
 	return !t.manyIncomplete() && t.evictOldest(t.idle, t.limits.EvictIdleAfter)
@@ -165,31 +164,50 @@
 	return t.awaitingHead.Len()+t.awaitingBody.Len()+t.lingering.Len() > t.limits.ClientConns/4
 }
 
-// evictIncomplete evicts a connection whose request has been incomplete for at least minAge, or that has sent nothing for
-// EvictSilentAfter, the oldest first, and reports whether there was one. On a busy machine a client may take a while
-// between its connection and its request. The caller holds the lock.
+// evictIncomplete evicts the oldest connection that has begun a request and not completed it, if it has waited for at least
+// minAge, and reports whether there was one. The caller holds the lock.
 func (t *connTable) evictIncomplete(minAge time.Duration) bool {
 	if t.evictOldest(t.awaitingBody, minAge) {
 		return true
 	}
 	for e := t.awaitingHead.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		age, isSilent := time.Since(c.listedSince), c.requestDeadline.IsZero()
-		if age < minAge {
+		if time.Since(c.listedSince) < minAge {
 			return false
 		}
-		if isSilent && age < t.limits.EvictSilentAfter {
-			continue
-		}
-		t.removeFromList(c)
-		if isSilent {
-			return t.evict(c, evictedSilent)
+		if !c.isSilent() {
+			t.removeFromList(c)
+			return t.evict(c, evictedPartial)
 		}
-		return t.evict(c, evictedPartial)
 	}
 	return false
 }
 
+// evictSilent evicts the oldest connection that has sent nothing, and reports whether there was one. On a busy machine a
+// client may take a while between its connection and its request, so a silent connection is spared for EvictFewSilentAfter,
+// or, if so many are silent that it is they who leave no room, for EvictSilentAfter. The caller holds the lock.
+func (t *connTable) evictSilent() bool {
+	var oldest *conn
+	silent := 0
+	for e := t.awaitingHead.Front(); e != nil && silent <= t.limits.ClientConns/4; e = e.Next() {
+		if c := e.Value.(*conn); c.isSilent() {
+			silent++
+			if oldest == nil {
+				oldest = c
+			}
+		}
+	}
+	minAge := t.limits.EvictFewSilentAfter
+	if silent > t.limits.ClientConns/4 {
+		minAge = t.limits.EvictSilentAfter
+	}
+	if oldest == nil || time.Since(oldest.listedSince) < minAge {
+		return false
+	}
+	t.removeFromList(oldest)
+	return t.evict(oldest, evictedSilent)
+}
+
 // evictOldest evicts the oldest connection that has been in a list for at least minAge, and reports whether there was one.
 // Idle connections that have unread bytes or were closed by the client are only removed from the list. The caller holds
 // the lock.
@@ -217,7 +235,7 @@
 		return evictedIdle
 	case l == t.lingering:
 		return evictedLinger
-	case l == t.awaitingHead && c.requestDeadline.IsZero():
+	case l == t.awaitingHead && c.isSilent():
 		return evictedSilent
 	}
 	return evictedPartial
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -42,7 +42,8 @@
 	OwnAnswerMargin         time.Duration // the node answers by itself this long before the client's deadline; see Margins
 	RequestReadTimeout      time.Duration // from connecting, or a later request's first byte, until a request is complete
 	ClientIdleTimeout       time.Duration // a client's connection idle for longer is closed
-	EvictSilentAfter        time.Duration // a client's connection whose first request's head has been awaited for less is not closed to make room
+	EvictSilentAfter        time.Duration // a client's connection that has sent nothing for less is not closed to make room
+	EvictFewSilentAfter     time.Duration // the same as long as at most a quarter of the connections have sent nothing
 	EvictIncompleteAfter    time.Duration // the same for one whose request is incomplete, while a new connection waits for a descriptor
 	WriteStallTimeout       time.Duration // a client that reads nothing is cut off after between half of this time and all of it
 	DialTimeout             time.Duration // for a connection to a server
@@ -101,7 +102,7 @@
 		ServerConns: descriptors / 5, ClientConns: min(descriptors-descriptors/5, memory.ClientConns/clientConnBytes),
 		RetryAfter: s.MaxRetryAfter, EvictIdleAfter: 10 * time.Millisecond, MaxWait: 10 * max(longestDeadline, time.Second),
 		DecisionMargin: 140 * time.Millisecond, OwnAnswerMargin: 110 * time.Millisecond,
-		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictIncompleteAfter: 100 * time.Millisecond,
+		RequestReadTimeout: 2200 * time.Millisecond, ClientIdleTimeout: 2200 * time.Millisecond, EvictSilentAfter: 250 * time.Millisecond, EvictFewSilentAfter: time.Second, EvictIncompleteAfter: 100 * time.Millisecond,
 		WriteStallTimeout: 10 * max(longestDeadline, time.Second),
 		DialTimeout:       resources.DialTimeout, ProbeTimeout: resources.DialTimeout, ServerIdleTimeout: s.ConnIdleTimeout * 9 / 10,
 		ServerReuseDelay: 20 * time.Millisecond, AnswerReadTimeout: 400 * time.Millisecond,
