--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -415,7 +415,7 @@
 		g.outputs.Peers.Post(a)
 	case logic.Vote:
 		if g.rules != nil {
-			a = g.rules.view.RestrictVote(a, g.rules.permission)
+			a = g.rules.applyToVote(a)
 		}
 		g.outputs.Platform.Vote(a)
 	case logic.Watch: // nothing to do: the watch of discovery is always open or being reopened
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -20,6 +20,8 @@
 	liftedAt     map[logic.ServerID]time.Duration // when the cordon of this incarnation was lifted; it counts as started then
 	lastStatus   *logic.ReleaseStatus             // latest from the platform; nil: none yet
 	lastStatusAt time.Duration                    // when it was received
+	lastVote     *logic.Vote                      // as the module decided it; nil: none yet
+	castVerdict  logic.Verdict                    // with which lastVote was cast, as the rules restricted it
 	fleet        *Fleet
 }
 
@@ -115,6 +117,26 @@
 	return r.view.RestrictRelease(e, r.permission)
 }
 
+// applyToVote stores a vote as the module decided it, and returns it as the rules restrict it.
+func (r *rules) applyToVote(decided logic.Vote) logic.Vote {
+	vote := r.view.RestrictVote(decided, r.permission)
+	r.lastVote, r.castVerdict = &decided, vote.Verdict
+	return vote
+}
+
+// recastVote casts the last vote again if the rules now restrict it to another verdict than it was cast with, since a vote
+// counts until it expires. A vote on an earlier stage counts no more.
+func (g *Gateway) recastVote() {
+	r := g.rules
+	if r.lastVote == nil || r.lastStatus == nil || r.lastStatus.Phase != logic.OnTrial ||
+		r.lastVote.Build != r.lastStatus.Build || r.lastVote.Stage != r.lastStatus.Stage {
+		return
+	}
+	if r.view.RestrictVote(*r.lastVote, r.permission).Verdict != r.castVerdict {
+		g.outputs.Platform.Vote(r.applyToVote(*r.lastVote))
+	}
+}
+
 // applyRules applies a version of the rules, or a changed permission to send. It updates the module where servers, the
 // build on trial, tenants' shares or classes' worths change. Without permission to send, it refuses all requests of which
 // no attempt was made yet.
@@ -144,6 +166,7 @@
 			g.applyRelease(status)
 		}
 	}
+	g.recastVote()
 	d := r.view.Document.Rules
 	g.router.SetSharesAndWorths(d.Tenants, d.Worth)
 	if r.permission != lease.None {
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -75,6 +75,41 @@
 	}
 }
 
+// recordingPlatform records the votes that it gets.
+type recordingPlatform struct{ votes []logic.Vote }
+
+func (p *recordingPlatform) Vote(v logic.Vote) { p.votes = append(p.votes, v) }
+
+// A vote to advance that was cast before a freeze, or before the lease was lost, is replaced by a hold at once, and cast again
+// when both are over; one on an earlier stage is left alone. It guards against a build that advances during a freeze by a
+// vote that has not expired yet.
+func TestFreezeReplacesOwnVote(t *testing.T) {
+	g := New(logic.New(logic.Settings{RouterCount: 1}, 1), config.Limits{MaxEvents: 64}, NewClock(), metrics.New(), zap.NewNop())
+	g.UseRules(time.Minute)
+	platform := &recordingPlatform{}
+	g.outputs = Outputs{Servers: &fakeServers{}, Platform: platform, Peers: discardSink{}}
+	apply := func(r ruleset.Rules, permission lease.Permission) {
+		g.applyRules(rulesUpdated{viewOf(1, r), permission, make(chan struct{})})
+	}
+	apply(ruleset.Rules{}, lease.Full)
+	g.applyRelease(logic.ReleaseStatus{Build: 7, Stage: 1, Phase: logic.OnTrial, Cap: 0.1})
+	effects{g}.Do(logic.Vote{Build: 7, Stage: 1, Verdict: logic.VoteAdvance})
+	frozen := ruleset.Rules{Freeze: &ruleset.Provenance{}}
+	apply(frozen, lease.Full)
+	apply(frozen, lease.None)
+	apply(ruleset.Rules{}, lease.Full)
+	apply(ruleset.Rules{}, lease.None)
+	g.applyRelease(logic.ReleaseStatus{Build: 7, Stage: 2, Phase: logic.OnTrial, Cap: 0.2})
+	apply(ruleset.Rules{}, lease.Full)
+	var got []logic.Verdict
+	for _, v := range platform.votes {
+		got = append(got, v.Verdict)
+	}
+	if want := []logic.Verdict{logic.VoteAdvance, logic.VoteHold, logic.VoteAdvance, logic.VoteHold}; !slices.Equal(got, want) {
+		t.Errorf("verdicts %v, want %v", got, want)
+	}
+}
+
 // The module and the connection pool see a cordoned server as draining, whether the list or the cordon comes first. After
 // the cordon is lifted the server counts as just started, and it still does once the rules no longer list the lifting.
 func TestCordonActsAsDrain(t *testing.T) {
