--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"merlinarch/internal/config"
+	"merlinarch/internal/decide/incarnation"
 	"merlinarch/internal/driver"
 	"merlinarch/internal/exchange"
 	"merlinarch/internal/metrics"
@@ -76,10 +77,16 @@
 }
 
 // Clock measures monotonic time since its origin. The mapping from Unix times is fixed when the clock is made.
-type Clock struct{ origin time.Time }
+type Clock struct {
+	origin     time.Time
+	unixOrigin time.Duration // the Unix time of the origin, by this machine's wall clock when the clock was made
+}
 
 // NewClock returns a clock. Its time starts above zero, since zero means "never" or "long ago" to the module.
-func NewClock() Clock { return Clock{time.Now().Add(-time.Hour)} }
+func NewClock() Clock {
+	origin := time.Now().Add(-time.Hour)
+	return Clock{origin, time.Duration(origin.UnixNano())}
+}
 
 // Now returns the time since the origin.
 func (c Clock) Now() time.Duration { return time.Since(c.origin) }
@@ -95,7 +102,7 @@
 	if ms <= 0 {
 		return 0
 	}
-	at := time.Duration(ms*1000)*time.Microsecond - time.Duration(c.origin.UnixNano())
+	at := time.Duration(ms*1000)*time.Microsecond - c.unixOrigin
 	if at == 0 {
 		return 1
 	}
@@ -154,6 +161,7 @@
 	serversKnown bool                // a list with servers has been received
 	releaseKnown bool                // the state of the newest build has been received
 	ready        atomic.Bool
+	starts       *incarnation.Starts
 	rules        *rules // nil: no agreed rules are in use
 	router       *logic.Router
 }
@@ -161,7 +169,7 @@
 // New returns a gateway for a decision module; Run starts it.
 func New(router *logic.Router, limits config.Limits, clock Clock, counters *metrics.Registry, log *zap.Logger) *Gateway {
 	g := &Gateway{limits: limits, clock: clock, counters: counters, log: log, tracing: log.Core().Enabled(zap.DebugLevel),
-		events: make(chan event, limits.MaxEvents), done: make(chan struct{}), calls: map[*exchange.Exchange]*call{}}
+		events: make(chan event, limits.MaxEvents), done: make(chan struct{}), calls: map[*exchange.Exchange]*call{}, starts: incarnation.New()}
 	g.driver, g.router = driver.New(router, effects{g}), router
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -334,6 +334,36 @@
 	}
 }
 
+// A server that is listed as new counts as just started although this machine's wall clock is an hour off, and stays the
+// same incarnation. It guards against slow start that fails on a machine whose clock was stepped.
+func TestNewServerIsColdByAWrongClock(t *testing.T) {
+	for _, off := range []time.Duration{0, time.Hour, -time.Hour} {
+		clock := NewClock()
+		clock.unixOrigin += off
+		g := New(logic.New(logic.Settings{RouterCount: 1}, 1), config.Limits{MaxEvents: 64}, clock, metrics.New(), zap.NewNop())
+		s := &recordingServers{fakeServers: &fakeServers{}, hosts: map[logic.ServerID]Host{}}
+		g.outputs = Outputs{Servers: s, Platform: discardSink{}, Peers: discardSink{}}
+		bornMs := time.Now().UnixMilli()
+		list := func(id logic.ServerID, state logic.ServerState, startedMs int64) {
+			h := Host{StartedUnixMs: startedMs, Server: logic.Server{ID: id, Zone: "a", Build: 7, Weight: 1, State: state, Started: clock.FromUnix(float64(startedMs))}}
+			g.applyServers(serversUpdated{logic.ServersListed{Servers: []logic.Server{h.Server}}, []Host{h}})
+		}
+		list(1, logic.Ready, 0)
+		list(2, logic.Ready, bornMs)
+		first := s.host(2).Started
+		if age := clock.Now() - first; age < 0 || age > 10*time.Second {
+			t.Errorf("clock off by %v: a new server counts as %v old", off, age)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if list(2, logic.Draining, bornMs); s.host(2).Started != first {
+			t.Errorf("clock off by %v: the start moved by %v", off, s.host(2).Started-first)
+		}
+		if s.host(1).Started != 0 {
+			t.Errorf("clock off by %v: a server of long ago started at %v", off, s.host(1).Started)
+		}
+	}
+}
+
 // Converted Unix times keep their distance from the present; zero stays zero, and no other time becomes zero.
 func TestClock(t *testing.T) {
 	c := NewClock()
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"merlinarch/internal/decide/incarnation"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/ruleset"
 	"merlinarch/internal/exchange"
@@ -18,6 +19,8 @@
 	permission   lease.Permission
 	hosts        map[logic.ServerID]Host          // as discovery lists them
 	liftedAt     map[logic.ServerID]time.Duration // when the cordon of this incarnation was lifted; it counts as started then
+	lifts        *incarnation.Starts              // the same, by the registrars' time of the lifting
+	applied      bool                             // a version of the rules has been applied
 	lastStatus   *logic.ReleaseStatus             // latest from the platform; nil: none yet
 	lastStatusAt time.Duration                    // when it was received
 	lastVote     *logic.Vote                      // as the module decided it; nil: none yet
@@ -38,7 +41,7 @@
 func (g *Gateway) UseRules(warmUpTime time.Duration) *Fleet {
 	f := newFleet(g.clock, warmUpTime)
 	g.rules = &rules{view: ruleset.NewView(ruleset.Document{}), permission: lease.None, hosts: map[logic.ServerID]Host{},
-		liftedAt: map[logic.ServerID]time.Duration{}, fleet: f}
+		liftedAt: map[logic.ServerID]time.Duration{}, lifts: incarnation.New(), fleet: f}
 	return f
 }
 
@@ -61,6 +64,7 @@
 // applyServers gives a list of servers to the connection pool and the module, restricted by the agreed rules. The pool
 // gets it first, so that it knows the address of each server that the module may choose.
 func (g *Gateway) applyServers(e serversUpdated) {
+	g.observeStarts(e)
 	if r := g.rules; r != nil && !e.event.Failed {
 		r.storeHosts(e)
 		for i := range e.hosts {
@@ -74,6 +78,22 @@
 	g.ready.Store(g.serversKnown && g.releaseKnown)
 }
 
+// observeStarts replaces the start of each listed server by what this router has made of it, whose wall clock may be wrong.
+func (g *Gateway) observeStarts(e serversUpdated) {
+	now := g.clock.Now()
+	if e.event.Full {
+		g.starts.RemoveUnlisted(e.event.Servers)
+	}
+	for i, h := range e.hosts {
+		if h.State == logic.Gone {
+			g.starts.Remove(h.ID)
+			continue
+		}
+		e.hosts[i].Started = g.starts.Observe(h.ID, h.StartedUnixMs, h.Started, now, !g.serversKnown)
+		e.event.Servers[i].Started = e.hosts[i].Started
+	}
+}
+
 // storeHosts stores a list, or changes to it, as received.
 func (r *rules) storeHosts(e serversUpdated) {
 	present := map[logic.ServerID]bool{}
@@ -85,6 +105,7 @@
 		if h.State == logic.Gone {
 			delete(r.hosts, h.ID)
 			delete(r.liftedAt, h.ID)
+			r.lifts.Remove(h.ID)
 			continue
 		}
 		r.hosts[h.ID] = h
@@ -99,7 +120,8 @@
 // applyToHost returns a listed server as the rules restrict it. One whose cordon was lifted counts as started at that
 // time, so that all dispatchers together apply slow start to it.
 func (r *rules) applyToHost(h Host, clock Clock) Host {
-	if at := clock.FromUnix(float64(r.view.LiftedAt(h.Name))); at > h.Started && at > r.liftedAt[h.ID] {
+	liftedUnixMs := r.view.LiftedAt(h.Name)
+	if at := r.lifts.Observe(h.ID, liftedUnixMs, clock.FromUnix(float64(liftedUnixMs)), clock.Now(), !r.applied); at > h.Started && at > r.liftedAt[h.ID] {
 		r.liftedAt[h.ID] = at
 	}
 	h.Started = max(h.Started, r.liftedAt[h.ID])
@@ -166,6 +188,7 @@
 			g.applyRelease(status)
 		}
 	}
+	r.applied = true
 	g.recastVote()
 	d := r.view.Document.Rules
 	g.router.SetSharesAndWorths(d.Tenants, d.Worth)
