--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -178,13 +178,10 @@
 }
 
 // Send sends a dispatch with its idempotency key and the fencing token of this claim. It reports what is known of the try.
-func (s dispatchSender) Send(ctx context.Context, t statemachine.Task) accord.TryResult {
+func (s dispatchSender) Send(ctx context.Context, t statemachine.Task, sendBy time.Time) accord.TryResult {
 	deadline := time.Now().Add(min(s.maxTimeout, max(time.Second, 4*time.Duration(t.Plan.ExpectedDurationMs*float64(time.Millisecond)))))
-	if latest := time.UnixMilli(t.Plan.Latest); latest.Before(deadline) {
-		deadline = latest
-	}
-	if until := time.UnixMilli(t.RepeatUntilMs); t.RepeatUntilMs > 0 && until.Before(deadline) {
-		deadline = until
+	if sendBy.Before(deadline) {
+		deadline = sendBy
 	}
 	separator := "?"
 	if strings.Contains(t.Plan.Target, "?") {
--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -71,10 +71,10 @@
 	TryNotRun                   // the receiver certainly has not run it
 )
 
-// DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request; ctx ends with the
-// dispatcher.
+// DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request, and not later than
+// sendBy; ctx ends with the dispatcher.
 type DispatchSender interface {
-	Send(ctx context.Context, t statemachine.Task) TryResult
+	Send(ctx context.Context, t statemachine.Task, sendBy time.Time) TryResult
 }
 
 // Follower keeps a dispatcher's lease and its copy of the replicated configuration up to date. It is a client of the
@@ -274,7 +274,7 @@
 	}
 	// The lease starts here, before the request is sent: the registrars may agree on a newer version at any time until
 	// the response is read, however long the network, the registrars or a pause of this process delay it.
-	sentAt := f.opts.Clock.Now()
+	sentAt, beatAt := f.opts.Clock.Now(), time.Now()
 	var granted BeatResponse
 	if err := f.call(ctx, PathBeat, beat, &granted); err != nil {
 		var problem *Problem
@@ -295,25 +295,31 @@
 		return false, fmt.Errorf("the lease is for version %d, but version %d is held", granted.Version, f.Gate.HeldVersion())
 	}
 	f.counters.Inc("accord.beats")
-	f.startTasks(ctx, granted.Tasks)
+	f.startTasks(ctx, granted, beatAt)
 	return granted.Document != nil, nil
 }
 
-// startTasks starts the tasks that are new. It forgets finished ones that are no longer listed: the registrars have
-// withdrawn them or have recorded their outcomes.
-func (f *Follower) startTasks(ctx context.Context, tasks []statemachine.Task) {
+// startTasks starts the tasks of a response that are new. It forgets finished ones that are no longer listed: the
+// registrars have withdrawn them or have recorded their outcomes. The registrars' times are counted from when the beat was
+// sent, not compared with this machine's wall clock, which may be stepped.
+func (f *Follower) startTasks(ctx context.Context, granted BeatResponse, beatAt time.Time) {
+	unixMs := granted.UnixMs
+	if unixMs == 0 { // the registrar is of an earlier version
+		unixMs = beatAt.UnixMilli()
+	}
 	listed := map[uint64]bool{}
-	for _, t := range tasks {
+	for _, t := range granted.Tasks {
 		listed[t.Fence] = true
 		if _, started := f.tasks[t.Fence]; started {
 			continue
 		}
 		f.tasks[t.Fence] = nil
 		f.counters.Inc("accord.tasks")
+		sendBy := beatAt.Add(t.TimeLeft(unixMs))
 		f.running.Go(func() {
 			result := TryNotRun
 			if f.Sender != nil {
-				result = f.Sender.Send(ctx, t)
+				result = f.Sender.Send(ctx, t, sendBy)
 			}
 			select {
 			case f.finished <- statemachine.Outcome{Dispatch: t.Dispatch, Fence: t.Fence, Done: result == TryDone, NotRun: result == TryNotRun}:
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -86,7 +86,8 @@
 	LeaseNs     int64               `json:"lease_ns"`
 	Document    *ruleset.Document   `json:"document,omitempty"` // if the dispatcher held another version
 	WantServers bool                `json:"want_list,omitempty"`
-	Tasks       []statemachine.Task `json:"tasks,omitempty"` // dispatches that this dispatcher has claimed
+	UnixMs      int64               `json:"unix_ms,omitempty"` // the registrars' time of the answer, by which tasks tell times; zero: not told
+	Tasks       []statemachine.Task `json:"tasks,omitempty"`   // dispatches that this dispatcher has claimed
 }
 
 // WatchResponse answers a watch: it holds a newer version, or no document if there was none within WatchTimeout.
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -348,6 +348,15 @@
 	Generation uint64 `json:"generation,omitempty"` // distinguishes work that was planned under the name of withdrawn work
 }
 
+// TimeLeft returns how long the task may still be sent, at unixMs of the registrars' time. It may be negative.
+func (t Task) TimeLeft(unixMs int64) time.Duration {
+	until := t.Plan.Latest
+	if t.RepeatUntilMs > 0 {
+		until = min(until, t.RepeatUntilMs)
+	}
+	return time.Duration(until-unixMs) * time.Millisecond
+}
+
 // SiteStatus tells whether a site was reachable when last observed, and how likely it is to be reachable in an hour.
 type SiteStatus struct {
 	State       string  `json:"state"` // when last observed: up or down
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -597,7 +597,7 @@
 		return accord.NewProblem(accord.CodeStaleIncarnation, "a newer incarnation of the dispatcher has replaced this one")
 	}
 	document := n.state.Ruleset.Document
-	granted := accord.BeatResponse{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: document.Head.Version, LeaseNs: int64(length),
+	granted := accord.BeatResponse{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: document.Head.Version, LeaseNs: int64(length), UnixMs: n.unixMs(),
 		WantServers: beat.ServersDigest != "" && n.serverLists[beat.Name].digest != beat.ServersDigest, Tasks: n.state.Tasks(beat.Name, beat.Incarnation)}
 	if beat.HeldVersion != document.Head.Version {
 		granted.Document = &document
