--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -111,6 +111,7 @@
 	if o.WallClock == nil {
 		o.WallClock = time.Now
 	}
+	o.WallClock = withoutSteps(o.WallClock)
 	if o.Listen == "" {
 		if o.Listen = o.Registrars[o.Name]; o.Listen == "" {
 			return fmt.Errorf("%s: %w", o.Name, errNotConfigured)
