--- a/internal/clients/ends_test.go
+++ b/internal/clients/ends_test.go
@@ -356,6 +356,56 @@
 	return &timeoutFirstConn{TCPConn: c.(*net.TCPConn)}, nil
 }
 
+// failingListener is a listener whose Accept returns each of the errors once before it accepts a connection.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// Accepting goes on at once after any error that accept may return for a moment. It guards against a router that ends, or
+// that accepts nothing for up to a second, because one connection or the machine was in trouble.
+func TestAcceptGoesOnAfterErrors(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: l}
+	for range 3 {
+		for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+			syscall.EPERM, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+			syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ECONNRESET, syscall.ENOSR} {
+			failing.failures = append(failing.failures, errno)
+		}
+	}
+	s := New(testLimits(), testSettings, &stubGateway{onSubmit: serveOK}, metrics.New(), zap.NewNop())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(failing) }()
+	defer func() {
+		s.http.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	began := time.Now()
+	c := dial(t, l.Addr().String())
+	c.write(get())
+	if resp, body := c.read(); resp.StatusCode != 200 || body != "hi" {
+		t.Errorf("status %d %q", resp.StatusCode, body)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("answered after %v", took)
+	}
+}
+
 // The first request on a new connection must be answered, not lost by a close, if it arrives just as the read deadline
 // passes.
 func TestFirstRequestAnsweredAtReadTimeout(t *testing.T) {
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,6 +16,10 @@
 	acceptUntil atomic.Pointer[time.Time] // nil: no limit; set: accept what is in the backlog, but nothing after this time
 }
 
+// acceptRetryPause is the pause after an error of accept that is not a want of descriptors or memory, so that one that
+// lasts does not take the processor.
+const acceptRetryPause = time.Millisecond
+
 // errDrained is returned by Accept once the backlog is drained.
 var errDrained = errors.New("the listener accepts no more connections")
 
@@ -39,6 +44,12 @@
 	return until != nil && time.Now().After(*until)
 }
 
+// isOver reports whether nothing will be accepted after an error: the listener is closed, or its deadline has passed.
+func (l *listener) isOver(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) ||
+		errors.Is(err, syscall.EBADF) || errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.ENOTSOCK)
+}
+
 // Accept returns the next connection. Without a free descriptor, nothing could be accepted or forwarded, while the kernel
 // would go on filling the backlog. So Accept waits in short steps until an answer has closed its connection or an idle
 // connection can be evicted. The limit on open requests is low enough that such connections exist.
@@ -62,15 +73,19 @@
 			c := l.conns.accepted(nc)
 			l.conns.evictForRoom(false)
 			return c, nil
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
-			errors.Is(err, syscall.ENOMEM): // if this error were returned, net/http would pause for up to a second
+		case l.isOver(err):
+			if l.acceptUntil.Load() != nil {
+				return nil, errDrained
+			}
+			return nil, err
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
 			l.conns.counters.Inc("clients.accept_short")
 			l.conns.evictForRoom(true)
 			l.conns.waitForDescriptor()
-		case l.acceptUntil.Load() != nil:
-			return nil, errDrained
-		default:
-			return nil, err
+		default: // the next connection, or the network, was in trouble; net/http would pause for up to a second, or end
+			l.conns.counters.Inc("clients.accept_failed")
+			l.conns.noteAcceptFailure(err)
+			time.Sleep(acceptRetryPause)
 		}
 	}
 	return nil, errDrained
--- a/internal/clients/shortage.go
+++ b/internal/clients/shortage.go
@@ -46,3 +46,8 @@
 	l.log.Info("shortage of resources for clients is over", zap.Duration("lasted", l.last.Sub(l.since)), zap.Int("events", l.events))
 	l.since = time.Time{}
 }
+
+// noteAcceptFailure logs an error of accept that is not a want of descriptors or memory.
+func (t *connTable) noteAcceptFailure(err error) {
+	t.log.Warn("a connection from a client could not be accepted", zap.Error(err))
+}
