--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -60,7 +60,7 @@
 }
 
 // getConn takes a server's idle connection or opens a new one. If it returns no connection, the result tells why. It is
-// NotSent if there is no such server, no descriptor was left or the attempt's own time is over: ConnectFailed would
+// NotSent if there is no such server, this machine lacked something or the attempt's own time is over: ConnectFailed would
 // count these against the host.
 func (p *Pool) getConn(ctx context.Context, server logic.ServerID) (*host, *conn, gateway.Result) {
 	h := p.lookup(server)
@@ -74,7 +74,7 @@
 	switch {
 	case err == nil:
 		return h, c, gateway.Result{}
-	case errors.Is(err, errNoDescriptor) || ctx.Err() != nil:
+	case errors.Is(err, errNoDescriptor) || errors.Is(err, errNotDialled) || ctx.Err() != nil:
 		return h, nil, gateway.Result{Outcome: logic.NotSent}
 	default:
 		return h, nil, gateway.Result{Outcome: logic.ConnectFailed, ConnRefused: errors.Is(err, syscall.ECONNREFUSED)}
--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -38,6 +39,7 @@
 
 	limits   config.Limits
 	counters *metrics.Registry
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	ctx      context.Context
 	stop     context.CancelFunc
 	work     sync.WaitGroup
@@ -59,7 +61,8 @@
 // New makes a pool and starts its background goroutine. Call Close to end the pool.
 func New(limits config.Limits, counters *metrics.Registry) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{limits: limits, counters: counters, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
+	dialer := net.Dialer{Timeout: limits.DialTimeout, KeepAlive: -1}
+	p := &Pool{limits: limits, counters: counters, dial: dialer.DialContext, ctx: ctx, stop: stop, hosts: map[logic.ServerID]*host{},
 		cancelledAt: map[logic.BuildID]time.Time{}, keyBuilds: map[uint64]keyBuild{},
 		Memory: memory.NewBudget(limits.RequestMemory)}
 	p.work.Go(p.expireLoop)
@@ -335,10 +338,13 @@
 		p.counters.Inc("connections.no_descriptor")
 		return nil, errNoDescriptor
 	}
-	dialer := net.Dialer{Timeout: p.limits.DialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", p.currentEntry(h).Addr)
+	raw, err := p.dial(ctx, "tcp", p.currentEntry(h).Addr)
 	if err != nil {
 		p.releaseDescriptor()
+		if isLocalFailure(err) {
+			p.counters.Inc("connections.failed_here")
+			return nil, fmt.Errorf("%w: %w", errNotDialled, err)
+		}
 		p.counters.Inc("connections.failed")
 		return nil, err
 	}
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -224,6 +226,25 @@
 	}
 }
 
+// A dial that fails for a reason of this machine is no attempt and no evidence against the host; one that the host's side
+// fails is. It guards against hosts that are avoided because this machine was out of ports, buffers or routes for a moment.
+func TestLocalFailuresAreNoEvidence(t *testing.T) {
+	for errno, want := range map[syscall.Errno]logic.Outcome{
+		syscall.EMFILE: logic.NotSent, syscall.ENFILE: logic.NotSent, syscall.ENOBUFS: logic.NotSent, syscall.ENOMEM: logic.NotSent,
+		syscall.EADDRNOTAVAIL: logic.NotSent, syscall.EADDRINUSE: logic.NotSent, syscall.EAGAIN: logic.NotSent, syscall.ENETUNREACH: logic.NotSent,
+		syscall.ENETDOWN: logic.NotSent, syscall.EACCES: logic.NotSent, syscall.EPERM: logic.NotSent,
+		syscall.ECONNREFUSED: logic.ConnectFailed, syscall.ETIMEDOUT: logic.ConnectFailed, syscall.EHOSTUNREACH: logic.ConnectFailed, syscall.ECONNRESET: logic.ConnectFailed,
+	} {
+		p, _ := newPool(t, testLimits(), gateway.Host{Addr: "127.0.0.1:1", Server: logic.Server{ID: 1}})
+		p.dial = func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+		}
+		if r := send(t, p, gateway.Attempt{Server: 1}); r.Outcome != want || r.ConnRefused != (errno == syscall.ECONNREFUSED) {
+			t.Errorf("%v: outcome %v, refused %v", errno, r.Outcome, r.ConnRefused)
+		}
+	}
+}
+
 func TestRefusedConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
