--- a/deploy/run-tests.sh
+++ b/deploy/run-tests.sh
@@ -4,8 +4,7 @@
 # be absent. Each of its lines reads
 #     ./PACKAGE Test | command | seed | what was seen | issue
 # where command shows the failure, seed is the seed or "none", and issue names an open issue. No part may be empty or
-# contain "|". The script fails if the file has more than three lines, a line of another form, or a test that does not
-# exist.
+# contain "|". The script fails if the file has a line of another form, or a test that does not exist.
 set -euo pipefail
 file=KNOWN-RED.txt
 fail() {
--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Checks the formatting, go vet, staticcheck (settings: staticcheck.conf), the imports of packages and the uses of the wall clock, then builds the
-# programs and runs all tests with the race detector. The tests also check the limits on the policy file, and run the
-# fuzz targets on their seed inputs. deploy/run-tests.sh describes KNOWN-RED.txt.
+# Checks the formatting, go vet, staticcheck (settings: staticcheck.conf), the imports of packages and the uses of the wall
+# clock, then builds the programs and runs all tests with the race detector. The tests also check the limits on the policy
+# file, and run the fuzz targets on their seed inputs. deploy/run-tests.sh describes KNOWN-RED.txt.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal logic)
