--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -26,6 +26,7 @@
 	toldWithin          = 6 * time.Second // after a watch has fallen silent or broken, what it misses counts as delivered
 	answerTime          = time.Second     // of toldWithin, for the call that opens the next watch
 	sharedSilence       = 3 * time.Second // heartbeats come every 2 s
+	reopenPauseDivisor  = 10              // the least pause before a watch is opened anew is ReopenWithin divided by this
 	agentSilence        = 5 * time.Second // two missed heartbeats; the next call to an agent of the router's own is made at once
 	goldenRatioFraction = 0.6180339887498949
 )
@@ -108,9 +109,11 @@
 }
 
 // reopenDelay returns the pause after the end of a connection that had worked. What it misses counts as delivered soon, and
-// many may end together: each router has its own slot in the time that is left.
+// many may end together: each router has its own slot in the time that is left, but pauses in any case, as a service may end
+// each connection at once.
 func (p *Pacer) reopenDelay(silentFor time.Duration) time.Duration {
-	return time.Duration(p.policy.Slot * float64(max(0, p.policy.ReopenWithin-silentFor)))
+	least := p.policy.ReopenWithin / reopenPauseDivisor
+	return least + time.Duration(p.policy.Slot*float64(max(0, p.policy.ReopenWithin-silentFor-least)))
 }
 
 // pauseAfterCall returns the pause after a call that failed.
