--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -111,6 +111,7 @@
 		r.hosts[h.ID] = h
 	}
 	if e.event.Full {
+		r.lifts.RemoveUnlisted(e.event.Servers)
 		maps.DeleteFunc(r.hosts, func(id logic.ServerID, _ Host) bool { return !present[id] })
 		maps.DeleteFunc(r.liftedAt, func(id logic.ServerID, _ time.Duration) bool { return !present[id] })
 	}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -110,6 +110,34 @@
 	}
 }
 
+// A server whose cordon has just been lifted counts as just started although this machine's wall clock is an hour off. It
+// guards against slow start that fails after a cordon.
+func TestLiftedServerIsColdByAWrongClock(t *testing.T) {
+	for _, off := range []time.Duration{0, time.Hour, -time.Hour} {
+		clock := NewClock()
+		clock.unixOrigin += off
+		g := New(logic.New(logic.Settings{RouterCount: 1}, 1), config.Limits{MaxEvents: 64}, clock, metrics.New(), zap.NewNop())
+		g.UseRules(time.Minute)
+		servers := &recordingServers{fakeServers: &fakeServers{}, hosts: map[logic.ServerID]Host{}}
+		g.outputs = Outputs{Servers: servers, Platform: discardSink{}, Peers: discardSink{}}
+		list := func(name string, id logic.ServerID) {
+			h := Host{Name: name, Server: logic.Server{ID: id, Zone: "a", Build: 7, Weight: 1}}
+			g.applyServers(serversUpdated{logic.ServersListed{Full: true, Servers: []logic.Server{h.Server}}, []Host{h}})
+		}
+		apply := func(r ruleset.Rules) { g.applyRules(rulesUpdated{viewOf(1, r), lease.Full, make(chan struct{})}) }
+		list("s-1", 1)
+		apply(ruleset.Rules{})
+		apply(ruleset.Rules{Lifted: map[string]int64{"s-1": time.Now().UnixMilli()}})
+		first := servers.host(1).Started
+		if age := clock.Now() - first; age < 0 || age > 10*time.Second {
+			t.Errorf("clock off by %v: the server counts as %v old", off, age)
+		}
+		if list("s-1", 1); servers.host(1).Started != first {
+			t.Errorf("clock off by %v: the start moved by %v", off, servers.host(1).Started-first)
+		}
+	}
+}
+
 // The module and the connection pool see a cordoned server as draining, whether the list or the cordon comes first. After
 // the cordon is lifted the server counts as just started, and it still does once the rules no longer list the lifting.
 func TestCordonActsAsDrain(t *testing.T) {
