--- /dev/null
+++ b/review/second/crash.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// change asks for changes of the rules by the project's command.
+func (r *rig) change(settings string, changes []object) bool {
+	file := r.writeJSON(fmt.Sprintf("change-%d.json", time.Now().UnixNano()), changes)
+	_, err := r.call("exec bin/merlinarch change "+file+" --author operator --reason 'nightly sheets' --settings "+settings, 20*time.Second)
+	return err == nil
+}
+
+// registrarCrash: operators look at the status of the cluster again and again while planned work goes out.
+func registrarCrash(r *rig) {
+	const monitors, perSecond = 16, 10
+	v := &receivers{r: r, window: 6 * time.Second, ranAt: map[string]time.Time{}, runs: map[string][]time.Time{}}
+	var entries []entry
+	for i := range 8 {
+		h := newHost(r, fmt.Sprintf("s-%02d", i), 20*time.Millisecond)
+		h.serve, h.quiet = v.serve, true
+		entries = append(entries, entry{Host: h.name, Dial: h.addr, Site: []string{"sala-limon", "sala-siquirres"}[i%2], Class: "basica-2n", Block: i / 4, Health: "up", Share: 1, Build: 42})
+	}
+	d, p := newDiscovery(r, entries), newPlatform(r, "42 3 released 1")
+	settings := r.startRegistrars()
+	registrars := r.procs[:3:3]
+	var served, others atomic.Int64
+	for i := range 3 {
+		addr := freeAddr()
+		router := r.startRouter(fmt.Sprintf("n%d", i), addr, limonSettings(i, 3, []string{"sala-limon", "sala-siquirres"}[i%2]), d, p, " --settings "+settings)
+		r.waitReady(router, addr)
+		cs := &clients{r: r, addr: addr, limit: 600 * time.Millisecond, done: func(o outcome) {
+			if o.status == 200 {
+				served.Add(1)
+			} else {
+				others.Add(1)
+			}
+		}}
+		go pace(5, 112*time.Second, func() { cs.send(read, false) })
+	}
+	time.Sleep(time.Second)
+	planned, withdrawn := 0, 0
+	plan := func(n int) {
+		var c []object
+		now := time.Now()
+		for range n {
+			planned++
+			c = append(c, object{"kind": "dispatch", "name": fmt.Sprintf("sheet-%d", planned), "work": object{"site": []string{"sala-limon", "sala-siquirres"}[planned%2],
+				"class": "publicar-aviso", "target": "/api/sheet", "body": "b", "earliest_ms": now.UnixMilli(), "latest_ms": now.Add(10 * time.Minute).UnixMilli(), "worth": 1, "took_ms": 20}})
+		}
+		r.change(settings, c)
+	}
+	for range 4 {
+		plan(64)
+	}
+	stop := make(chan struct{})
+	var looks atomic.Int64
+	if r.trouble {
+		for range monitors {
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Second / perSecond):
+						if r.run("exec bin/merlinarch status --json --patience 3s --settings "+settings, 5*time.Second) == nil {
+							looks.Add(1)
+						}
+					}
+				}
+			}()
+		}
+	}
+	length := 100
+	if !r.trouble {
+		length = 30
+	}
+	for second := range length {
+		time.Sleep(time.Second)
+		for _, q := range registrars {
+			if q.ended() {
+				text := r.tailFrom(q, "fatal error")
+				r.note("registrar %s ended by itself: %s", q.name, text)
+				r.breach("registrar %s ended by itself: %s", q.name, strings.SplitN(text, "\n", 2)[0])
+			}
+		}
+		v.mu.Lock()
+		r.note("looks %d, pieces of work run %d of %d; requests served %d, others %d", looks.Load(), len(v.runs), planned, served.Load(), others.Load())
+		ran := len(v.runs)
+		v.mu.Unlock()
+		if len(r.broken) > 0 {
+			break
+		}
+		if second%5 == 4 && ran > withdrawn+60 { // the next sheets replace sheets that are done
+			var c []object
+			for range 40 {
+				withdrawn++
+				c = append(c, object{"kind": "withdraw", "name": fmt.Sprintf("sheet-%d", withdrawn)})
+			}
+			if r.change(settings, c) {
+				plan(40)
+			}
+		}
+	}
+	close(stop)
+}
