--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -13,6 +13,7 @@
 	"stall-exposure":  stallExposure,
 	"work-twice":      workTwice,
 	"registrar-crash": registrarCrash,
+	"registrar-hang":  registrarHang,
 }
 
 // hostsOf starts hosts of one zone each and returns them with their entries.
