--- a/review/second/crash.go
+++ b/review/second/crash.go
@@ -74,11 +74,11 @@
 			}()
 		}
 	}
-	length := 100
+	length := 105 * time.Second
 	if !r.trouble {
-		length = 30
+		length = 35 * time.Second
 	}
-	for second := range length {
+	for second := 0; time.Since(r.start) < length; second++ {
 		time.Sleep(time.Second)
 		for _, q := range registrars {
 			if q.ended() {
--- a/review/second/hang.go
+++ b/review/second/hang.go
@@ -77,12 +77,15 @@
 		var c []object
 		for i := range perChange {
 			c = append(c, object{"kind": "dispatch", "name": fmt.Sprintf("sheet-%d", batch*perChange+i), "work": object{"site": "sala-siquirres",
-				"class": "publicar-aviso", "target": "/api/sheet", "body": "b", "earliest_ms": planned.UnixMilli(), "latest_ms": planned.Add(10 * time.Hour).UnixMilli(), "worth": 1, "took_ms": 100}})
+				"class": "publicar-aviso", "target": "/api/sheet", "body": "b", "earliest_ms": planned.UnixMilli(), "latest_ms": planned.Add(20 * time.Hour).UnixMilli(), "worth": 1, "took_ms": 100}})
 		}
 		if !r.change(settings, c) {
 			r.note("the change was not agreed within 20 s")
 			break
 		}
+		if time.Since(planned) > 15*time.Second {
+			break
+		}
 	}
 	for time.Since(planned) < 35*time.Second {
 		r.call("exec bin/merlinarch status --patience 8s --settings "+settings, 10*time.Second)
