--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -13,6 +13,7 @@
 	"stall-exposure":  stallExposure,
 	"work-twice":      workTwice,
 	"registrar-crash": registrarCrash,
+	"clock-lost":      clockLost,
 	"registrar-hang":  registrarHang,
 }
 
--- a/review/second/crash.go
+++ b/review/second/crash.go
@@ -10,7 +10,7 @@
 // change asks for changes of the rules by the project's command.
 func (r *rig) change(settings string, changes []object) bool {
 	file := r.writeJSON(fmt.Sprintf("change-%d.json", time.Now().UnixNano()), changes)
-	_, err := r.call("exec bin/merlinarch change "+file+" --author operator --reason 'nightly sheets' --settings "+settings, 20*time.Second)
+	_, err := r.call("exec bin/merlinarch change "+file+" --author op --reason sheets --settings "+settings, 20*time.Second)
 	return err == nil
 }
 
--- a/review/second/hang.go
+++ b/review/second/hang.go
@@ -9,7 +9,7 @@
 // registrarHang: the machines of one sala fall silent and are back three times in a minute, and then the sheets of the night
 // are planned for them. The other sala has no trouble at all, and neither have the registrars and their network.
 func registrarHang(r *rig) {
-	const sheets, perChange = 240, 60
+	const sheets, perChange = 280, 56
 	v := &receivers{r: r, window: 6 * time.Second, ranAt: map[string]time.Time{}, runs: map[string][]time.Time{}}
 	var hosts []*host
 	var entries []entry
@@ -77,7 +77,7 @@
 		var c []object
 		for i := range perChange {
 			c = append(c, object{"kind": "dispatch", "name": fmt.Sprintf("sheet-%d", batch*perChange+i), "work": object{"site": "sala-siquirres",
-				"class": "publicar-aviso", "target": "/api/sheet", "body": "b", "earliest_ms": planned.UnixMilli(), "latest_ms": planned.Add(20 * time.Hour).UnixMilli(), "worth": 1, "took_ms": 100}})
+				"class": "publicar-aviso", "target": "/api/s", "earliest_ms": planned.UnixMilli(), "latest_ms": planned.Add(20 * time.Hour).UnixMilli(), "worth": 1, "took_ms": 100}})
 		}
 		if !r.change(settings, c) {
 			r.note("the change was not agreed within 20 s")
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -38,6 +38,8 @@
 // proc is a process of the project.
 type proc struct {
 	name string
+	text string // the command
+	env  []string
 	cmd  *exec.Cmd
 	done chan struct{}
 }
@@ -135,7 +137,7 @@
 
 // spawn starts a command of the deploy file from the root of the repository.
 func (r *rig) spawn(name, command string, env ...string) *proc {
-	log, err := os.Create(filepath.Join(r.tmp, name+".log"))
+	log, err := os.OpenFile(filepath.Join(r.tmp, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		r.unable("%v", err)
 	}
@@ -146,13 +148,21 @@
 	if err := cmd.Start(); err != nil {
 		r.unable("%s: %v", name, err)
 	}
-	p := &proc{name, cmd, make(chan struct{})}
+	p := &proc{name, command, env, cmd, make(chan struct{})}
 	go func() { cmd.Wait(); log.Close(); close(p.done) }()
 	r.procs = append(r.procs, p)
 	r.note("started %s: %s", name, command)
 	return p
 }
 
+// restart starts a process that has ended once more, in its place.
+func (r *rig) restart(i int) {
+	old := r.procs[i]
+	r.spawn(old.name, old.text, old.env...)
+	r.procs[i] = r.procs[len(r.procs)-1]
+	r.procs = r.procs[:len(r.procs)-1]
+}
+
 // call runs a command to its end and returns its output.
 func (r *rig) call(command string, limit time.Duration) (string, error) {
 	cmd := exec.Command("/bin/sh", "-c", command)
--- a/review/second/work.go
+++ b/review/second/work.go
@@ -7,24 +7,26 @@
 	"time"
 )
 
-// accordSettings are the settings of README's example, with free ports.
-func (r *rig) startRegistrars() (settings string) {
-	addrs := object{}
-	for _, n := range []string{"r1", "r2", "r3"} {
+// startRegistrars starts three registrars with the settings of README's example, on free ports.
+func (r *rig) startRegistrars() (settings string) { return r.startRegistrarsWith(nil) }
+
+// startRegistrarsWith starts three registrars; steps gives by name how far the wall clock of a registrar's machine is ahead.
+func (r *rig) startRegistrarsWith(steps map[string]string) (settings string) {
+	names, addrs := []string{"r1", "r2", "r3"}, object{}
+	for _, n := range names {
 		addrs[n] = freeAddr()
 	}
-	dirs := map[string]string{}
-	base := object{"cluster": "plaza", "registrars": addrs}
-	for _, n := range []string{"r1", "r2", "r3"} {
-		dirs[n] = r.tmp + "/" + n
-	}
-	settings = r.writeJSON("accord.json", object{"accord": base})
-	for _, n := range []string{"r1", "r2", "r3"} {
-		command := fmt.Sprintf("mkdir -p %s && cd %s && %s/bin/merlinarch registrar init --settings %s --name %s", dirs[n], dirs[n], r.root, settings, n)
+	settings = r.writeJSON("accord.json", object{"accord": object{"cluster": "plaza", "registrars": addrs}})
+	for _, n := range names {
+		own, dir := settings, r.tmp+"/"+n
+		if steps[n] != "" {
+			own = r.writeJSON(n+".json", object{"accord": object{"cluster": "plaza", "registrars": addrs, "clock_step": steps[n]}})
+		}
+		command := fmt.Sprintf("mkdir -p %s && cd %s && %s/bin/merlinarch registrar init --settings %s --name %s", dir, dir, r.root, own, n)
 		if _, err := r.call(command, 10*time.Second); err != nil {
 			r.unable("init %s: %v", n, err)
 		}
-		r.spawn(n, fmt.Sprintf("cd %s && exec %s/bin/merlinarch registrar run --settings %s --name %s", dirs[n], r.root, settings, n))
+		r.spawn(n, fmt.Sprintf("cd %s && exec %s/bin/merlinarch registrar run --settings %s --name %s", dir, r.root, own, n))
 	}
 	return settings
 }
