--- a/review/second/crash.go
+++ b/review/second/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,7 +18,7 @@
 
 // registrarCrash: operators look at the status of the cluster again and again while planned work goes out.
 func registrarCrash(r *rig) {
-	const monitors, perSecond = 16, 10
+	const operators, pause = 10, 50 * time.Millisecond // as often as `cordon --wait` asks
 	v := newReceivers(r)
 	var entries []entry
 	for i := range 8 {
@@ -59,16 +61,31 @@
 	stop := make(chan struct{})
 	var looks atomic.Int64
 	if r.trouble {
-		for range monitors {
+		for i := range operators {
 			go func() {
-				for {
+				client := &http.Client{Timeout: 5 * time.Second}
+				for at := i; ; {
 					select {
 					case <-stop:
 						return
-					case <-time.After(time.Second / perSecond):
-						if r.run("exec bin/merlinarch status --json --patience 3s --settings "+settings, 5*time.Second) == nil {
-							looks.Add(1)
-						}
+					case <-time.After(pause):
+					}
+					q, err := http.NewRequest("GET", "http://"+r.registrars[at%len(r.registrars)]+"/v1/status", nil)
+					if err != nil {
+						return
+					}
+					q.Header.Set("Content-Digest", "sha-256=:47DEQpj8HBSa+/TImW+5JCeuQeRkm5NMpJWZG3hSuFU=:") // of no body
+					resp, err := client.Do(q)
+					if err != nil {
+						at++
+						continue
+					}
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == http.StatusOK {
+						looks.Add(1)
+					} else { // another registrar leads
+						at++
 					}
 				}
 			}()
--- a/review/second/work.go
+++ b/review/second/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -15,7 +14,8 @@
 func (r *rig) startRegistrarsWith(steps map[string]string) (settings string) {
 	names, addrs := []string{"r1", "r2", "r3"}, object{}
 	for _, n := range names {
-		addrs[n] = freeAddr()
+		addr := freeAddr()
+		addrs[n], r.registrars = addr, append(r.registrars, addr)
 	}
 	settings = r.writeJSON("accord.json", object{"accord": object{"cluster": "plaza", "registrars": addrs}})
 	for _, n := range names {
@@ -34,13 +34,12 @@
 
 // receivers are servers that all drop a repeat of a key for a window, as the site's settings say: they share what they met.
 type receivers struct {
-	r          *rig
-	window     time.Duration
-	mu         sync.Mutex
-	ranAt      map[string]time.Time // the latest run, by key
-	runs       map[string][]time.Time
-	troubleFor time.Duration // from the first run of a key on, the connections of requests with a key are reset for this long
-	began      time.Time
+	r      *rig
+	window time.Duration
+	mu     sync.Mutex
+	ranAt  map[string]time.Time // the latest run, by key
+	runs   map[string][]time.Time
+	onRun  func(h *host) // called after a run, before its answer; may be nil
 }
 
 // newReceivers returns servers that remember a key for the 6 s of the settings, and 50 ms as every time limit on sockets.
@@ -62,22 +61,16 @@
 		v.ranAt[a.key] = now
 		v.runs[a.key] = append(v.runs[a.key], now)
 		v.r.noteAt(now, "host %s RAN %s (run %d), id %s body %q", h.name, a.key, len(v.runs[a.key]), a.id, a.body)
-		if v.began.IsZero() {
-			v.began = now
+		if v.onRun != nil {
+			v.onRun(h)
 		}
 	}
-	lost := now.Sub(v.began) < v.troubleFor
 	v.mu.Unlock()
-	if lost {
-		v.r.note("the connection of %s to %s is reset and its answer lost", a.id, h.name)
-		a.conn.(*net.TCPConn).SetLinger(0)
-		return false
-	}
 	return answer(a.conn, 200, "done", "")
 }
 
-// workTwice: for 6 s the connections to the server that has run a piece of planned work are reset under requests, and its
-// answers are lost. Servers drop a repeat of the work's key for 6 s.
+// workTwice: the server that has run a piece of planned work dies before it answers, and is back after 12 s. Servers drop a
+// repeat of the work's key for 6 s.
 func workTwice(r *rig) {
 	v := newReceivers(r)
 	var hosts []*host
@@ -109,7 +102,28 @@
 	}
 	time.Sleep(2 * time.Second)
 	if r.trouble {
-		v.troubleFor = 6 * time.Second
+		died := false
+		v.onRun = func(h *host) {
+			if died {
+				return
+			}
+			died = true
+			addr := h.addr
+			h.die()
+			r.note("host %s dies before it answers", h.name)
+			go func() {
+				e := entries[5]
+				time.Sleep(2 * time.Second)
+				e.Health = "removed"
+				d.tell(e)
+				time.Sleep(10 * time.Second)
+				h.listen(addr)
+				e.Health, e.BornMs = "up", time.Now().UnixMilli()
+				r.note("host %s is back", h.name)
+				time.Sleep(time.Second)
+				d.tell(e)
+			}()
+		}
 	}
 	now := time.Now()
 	file := r.writeJSON("work.json", []object{{"kind": "dispatch", "name": "sheet", "work": object{"site": "sala-siquirres", "class": "publicar-aviso",
