--- a/review/second/crash.go
+++ b/review/second/crash.go
@@ -45,18 +45,23 @@
 	}
 	time.Sleep(time.Second)
 	planned, withdrawn := 0, 0
-	plan := func(n int) {
+	// replace withdraws the oldest pieces, which are done, and plans others.
+	replace := func(old, next int) {
 		var c []object
+		for i := range old {
+			c = append(c, object{"kind": "withdraw", "name": fmt.Sprintf("sheet-%d", withdrawn+i+1)})
+		}
 		now := time.Now()
-		for range n {
-			planned++
-			c = append(c, object{"kind": "dispatch", "name": fmt.Sprintf("sheet-%d", planned), "work": object{"site": []string{"sala-limon", "sala-siquirres"}[planned%2],
-				"class": "publicar-aviso", "target": "/api/sheet", "body": "b", "earliest_ms": now.UnixMilli(), "latest_ms": now.Add(10 * time.Minute).UnixMilli(), "worth": 1, "took_ms": 20}})
+		for i := range next {
+			c = append(c, object{"kind": "dispatch", "name": fmt.Sprintf("sheet-%d", planned+i+1), "work": object{"site": []string{"sala-limon", "sala-siquirres"}[i%2],
+				"class": "publicar-aviso", "target": "/api/s", "earliest_ms": now.UnixMilli(), "latest_ms": now.Add(10 * time.Minute).UnixMilli(), "worth": 1, "took_ms": 20}})
+		}
+		if r.change(settings, c) {
+			withdrawn, planned = withdrawn+old, planned+next
 		}
-		r.change(settings, c)
 	}
 	for range 4 {
-		plan(64)
+		replace(0, 56)
 	}
 	stop := make(chan struct{})
 	var looks atomic.Int64
@@ -111,15 +116,8 @@
 		if len(r.broken) > 0 {
 			break
 		}
-		if second%5 == 4 && ran > withdrawn+60 { // the next sheets replace sheets that are done
-			var c []object
-			for range 40 {
-				withdrawn++
-				c = append(c, object{"kind": "withdraw", "name": fmt.Sprintf("sheet-%d", withdrawn)})
-			}
-			if r.change(settings, c) {
-				plan(40)
-			}
+		if second%3 == 2 && ran >= withdrawn+64 {
+			replace(32, 32)
 		}
 	}
 	close(stop)
