--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -5,13 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,9 +20,7 @@
 	"merlinarch/internal/config"
 	"merlinarch/internal/decide/backoff"
 	"merlinarch/internal/decide/lease"
-	"merlinarch/internal/decide/statemachine"
 	"merlinarch/internal/discovery"
-	"merlinarch/internal/exchange"
 	"merlinarch/internal/features"
 	"merlinarch/internal/gateway"
 	"merlinarch/internal/ledger"
@@ -102,7 +97,7 @@
 	var follower *accord.Follower
 	if f.Accord.Enabled() {
 		follower = accord.NewFollower(followerOptions(f.Accord, c), gw, gw.UseRules(c.Settings.WarmUpTime), counters, log)
-		follower.Sender = dispatchSender{gw, c.Limits.MaxWait}
+		follower.Sender = dispatchSender{gw, c.Limits.MaxWait, log}
 		pool.Gate = follower.Gate
 		background.Go(func() { follower.Run(ctx) })
 	}
@@ -171,74 +166,6 @@
 	return err
 }
 
-// dispatchSender carries out dispatches (planned work) as ordinary requests, through the exchange and the decision module.
-type dispatchSender struct {
-	gateway    *gateway.Gateway
-	maxTimeout time.Duration
-}
-
-// Send sends a dispatch with its idempotency key and the fencing token of this claim. It reports what is known of the try.
-func (s dispatchSender) Send(ctx context.Context, t statemachine.Task, sendBy time.Time) accord.TryResult {
-	deadline := time.Now().Add(min(s.maxTimeout, max(time.Second, 4*time.Duration(t.Plan.ExpectedDurationMs*float64(time.Millisecond)))))
-	if sendBy.Before(deadline) {
-		deadline = sendBy
-	}
-	separator := "?"
-	if strings.Contains(t.Plan.Target, "?") {
-		separator = "&"
-	}
-	ex := exchange.New(exchange.Message{Method: http.MethodPost, Target: t.Plan.Target + separator + "fence=" + strconv.FormatUint(t.Fence, 10),
-		ID: fmt.Sprintf("%s-%d", t.Dispatch, t.Fence), DedupKey: dispatchKey(t), Body: []byte(t.Plan.Body)},
-		exchange.Fields{Class: t.Plan.Class, RequiredZone: t.Plan.Site}, deadline)
-	ex.DispatchID = t.Dispatch
-	if s.gateway.Submit(ex) != nil {
-		return accord.TryNotRun
-	}
-	timeout := time.NewTimer(time.Until(deadline))
-	defer timeout.Stop()
-	select {
-	case <-ex.Done():
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
-		s.gateway.Abandon(ex)
-	}
-	a := ex.Answer()
-	defer a.Release()
-	switch {
-	case a.Status == exchange.Served:
-		return accord.TryDone
-	case a.Status == exchange.Refused || !ex.Sent(): // a refusal promises that nothing has run
-		return accord.TryNotRun
-	default:
-		return accord.TryUnknown
-	}
-}
-
-// repeatWindows returns for each class how long its receivers drop repeats of planned work, in milliseconds. Planned work goes
-// to the servers of one zone, so a class whose repeats are dropped by a smaller group has no window.
-func repeatWindows(classes []logic.Class) map[string]int64 {
-	windows := map[string]int64{}
-	for _, c := range classes {
-		switch {
-		case c.Repeatability == logic.Safe:
-			windows[c.Name] = statemachine.AnyTime
-		case c.Repeatability == logic.Keyed && c.DedupScope != logic.ScopeCell:
-			windows[c.Name] = c.DedupWindow.Milliseconds()
-		}
-	}
-	return windows
-}
-
-// dispatchKey returns the idempotency key of a dispatch: all tries of the same work have the same one.
-func dispatchKey(t statemachine.Task) string {
-	if t.Generation == 0 {
-		return "dispatch-" + t.Dispatch
-	}
-	return fmt.Sprintf("dispatch-%s-%d", t.Dispatch, t.Generation)
-}
-
 // followerOptions returns the options with which this router follows the replicated configuration.
 func followerOptions(a features.Accord, c config.Config) accord.Options {
 	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.WithoutLease),
--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -71,6 +71,11 @@
 	TryNotRun                   // the receiver certainly has not run it
 )
 
+// String returns the name of a result.
+func (r TryResult) String() string {
+	return [...]string{"unknown", "done", "not run"}[r]
+}
+
 // DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request, and not later than
 // sendBy; ctx ends with the dispatcher.
 type DispatchSender interface {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -40,6 +40,11 @@
 	TimedOut        // failed because its deadline passed
 )
 
+// String returns the name of a status.
+func (s Status) String() string {
+	return [...]string{"served", "refused", "failed", "timed out"}[s]
+}
+
 // Answer is the final answer to a request.
 type Answer struct {
 	Status     Status
