--- a/cmd/merlinarch/dispatch.go
+++ b/cmd/merlinarch/dispatch.go
@@ -51,20 +51,38 @@
 	if ex.Finish(exchange.Answer{Status: exchange.TimedOut}) {
 		s.gateway.Abandon(ex)
 	}
+	awaitSettled(ctx, ex)
 	a := ex.Answer()
 	defer a.Release()
 	result := tryResult(ex, a)
 	s.log.Info("try of planned work ended", zap.String("dispatch", t.Dispatch), zap.Uint64("fence", t.Fence), zap.Stringer("answer", a.Status),
-		zap.Int("attempts", a.Attempts), zap.Bool("sent", ex.Sent()), zap.Stringer("result", result))
+		zap.Int("attempts", a.Attempts), zap.Bool("may_have_run", ex.MayHaveRun()), zap.Stringer("result", result))
 	return result
 }
 
-// tryResult returns what the answer to a try tells about it.
+// maxSettleTime is how long an ended try waits for its last attempt to end. Attempts are given up at the latest when the
+// time of their request is over.
+const maxSettleTime = time.Second
+
+// awaitSettled waits until no attempt of an ended try is in progress, so that one which was given up before it was written
+// doesn't count as one that may have run.
+func awaitSettled(ctx context.Context, ex *exchange.Exchange) {
+	timeout := time.NewTimer(maxSettleTime)
+	defer timeout.Stop()
+	select {
+	case <-ex.Settled():
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+// tryResult returns what is known of an ended try. A refusal doesn't tell that nothing has run: a request whose attempt may
+// have run is refused as well while all its receivers drop a repeat, and a later claim comes when they don't any more.
 func tryResult(ex *exchange.Exchange, a exchange.Answer) accord.TryResult {
 	switch {
 	case a.Status == exchange.Served:
 		return accord.TryDone
-	case a.Status == exchange.Refused || !ex.Sent(): // a refusal promises that nothing has run
+	case !ex.MayHaveRun():
 		return accord.TryNotRun
 	default:
 		return accord.TryUnknown
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -307,8 +307,8 @@
 
 // awaitAnswer submits a request to the gateway and returns the final answer. If a host, the event loop or the decisions
 // hang, the node itself answers with a timeout shortly before the deadline. It reports in mayRun whether a second request with
-// the same id would be one too many: the request was sent to a host, and either it was given up, so that it may run or have
-// run although its client was not told, or its class may not simply be repeated.
+// the same id would be one too many: a host may have run the request or may run it yet, and either it was given up, so that its
+// client was not told, or its class may not simply be repeated.
 func (s *Server) awaitAnswer(ctx context.Context, req clientRequest) (answer exchange.Answer, mayRun bool) {
 	decisionMargin, ownMargin := s.limits.Margins(time.Until(req.deadline))
 	ex := exchange.New(req.message, req.fields, req.deadline.Add(-decisionMargin))
@@ -328,7 +328,7 @@
 		select {
 		case <-ex.Done():
 			answer = ex.Answer()
-			return answer, ex.Sent() && (ex.Abandoned() || !s.parser.isSafe(req.fields.Class) && answer.Status != exchange.Refused)
+			return answer, ex.MayHaveRun() && (ex.Abandoned() || !s.parser.isSafe(req.fields.Class) && answer.Status != exchange.Refused)
 		case <-clientGone:
 			s.counters.Inc("requests.client_left")
 			s.traceLeft(ex, "the connection ended")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -63,12 +63,14 @@
 	DispatchID string      // id of the dispatch (planned work under the agreed rules) that it carries out; empty: a client's request
 
 	abandoned atomic.Bool
-	sent      atomic.Bool
 
-	mu     sync.Mutex
-	ended  bool
-	answer Answer
-	done   chan struct{}
+	mu         sync.Mutex
+	ended      bool
+	answer     Answer
+	done       chan struct{}
+	writing    int           // attempts that began and have not ended
+	mayHaveRun bool          // an attempt that has ended may have run
+	settled    chan struct{} // closed when the last attempt ends; nil: nobody waits for that
 }
 
 // New returns an exchange without an answer.
@@ -95,11 +97,49 @@
 // Abandoned reports whether nobody waits for the answer any more.
 func (e *Exchange) Abandoned() bool { return e.abandoned.Load() }
 
-// MarkSent records that an attempt is about to be written to a host.
-func (e *Exchange) MarkSent() { e.sent.Store(true) }
+// BeginAttempt records that an attempt is about to be written to a host. Its sender checks after this call whether the
+// request has ended, so that whoever ended it either sees the attempt or prevents it.
+func (e *Exchange) BeginAttempt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writing++
+}
+
+// EndAttempt records that an attempt has ended, and whether its host may have run it, or may run it yet.
+func (e *Exchange) EndAttempt(mayHaveRun bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writing--
+	e.mayHaveRun = e.mayHaveRun || mayHaveRun
+	if e.writing == 0 && e.settled != nil {
+		close(e.settled)
+		e.settled = nil
+	}
+}
 
-// Sent reports whether an attempt may have been written to a host.
-func (e *Exchange) Sent() bool { return e.sent.Load() }
+// MayHaveRun reports whether a host may have run the request, or may run it yet. It doesn't depend on the answer: some requests
+// that may have run can be refused. An attempt in progress may run.
+func (e *Exchange) MayHaveRun() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.writing > 0 || e.mayHaveRun
+}
+
+// Settled returns a channel that is closed once no attempt is in progress. Of a request that has ended no other one is
+// written, and MayHaveRun is final from then on.
+func (e *Exchange) Settled() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settled == nil {
+		settled := make(chan struct{})
+		if e.writing == 0 {
+			close(settled)
+			return settled
+		}
+		e.settled = settled
+	}
+	return e.settled
+}
 
 // Release frees the memory that the answer's body holds.
 func (a Answer) Release() {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -30,3 +30,35 @@
 		}
 	}
 }
+
+// A request may have run while an attempt is in progress and after one that may have run, whatever it is answered. Its end is
+// settled once no attempt is in progress. It guards against planned work that is sent again after a refusal.
+func TestMayHaveRun(t *testing.T) {
+	settled := func(e *Exchange) bool {
+		select {
+		case <-e.Settled():
+			return true
+		default:
+			return false
+		}
+	}
+	for _, mayHaveRun := range []bool{false, true} {
+		e := New(Message{}, Fields{}, time.Time{})
+		if e.MayHaveRun() || !settled(e) {
+			t.Error("a request without an attempt may have run, or is not settled")
+		}
+		e.BeginAttempt()
+		waiting := e.Settled()
+		if !e.MayHaveRun() || settled(e) {
+			t.Error("an attempt in progress can't run, or is settled")
+		}
+		e.EndAttempt(mayHaveRun)
+		<-waiting
+		e.BeginAttempt()
+		e.EndAttempt(false)
+		e.Finish(Answer{Status: Refused})
+		if e.MayHaveRun() != mayHaveRun || !settled(e) {
+			t.Errorf("after an attempt that may have run (%t) and one that can't: %t", mayHaveRun, e.MayHaveRun())
+		}
+	}
+}
--- a/internal/registrar/dispatch_test.go
+++ b/internal/registrar/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,6 +109,90 @@
 	}
 }
 
+// After a try that may have run, a dispatch is sent only while its receivers drop a repeat, whatever its later tries meet; then
+// it counts as unknown. One that has certainly not run is sent until it is done. It guards against a refusal that hides an
+// attempt whose answer was lost.
+func TestTriesOfDispatchAcrossTrouble(t *testing.T) {
+	t.Parallel()
+	const window, trouble = 4 * time.Second, 6 * time.Second
+	turnAway := func(*testCluster, cluster.Arrival) hosts.Kind { return hosts.TurnedAway }
+	for _, c := range []struct {
+		name      string
+		ran       bool                                                   // the first try prints the sheet and its answer is lost
+		onArrival func(s *testCluster, first cluster.Arrival) hosts.Kind // how later tries end while the trouble lasts
+		begin     func(s *testCluster, first cluster.Arrival)            // what else happens with the first try; may be nil
+	}{
+		{"ran, then turned away", true, turnAway, nil},
+		{"ran, then reset", true, func(*testCluster, cluster.Arrival) hosts.Kind { return hosts.ConnectionReset }, nil},
+		{"ran, then an error", true, func(*testCluster, cluster.Arrival) hosts.Kind { return hosts.ServerError }, nil},
+		{"ran, then silence", true, func(*testCluster, cluster.Arrival) hosts.Kind { return hosts.Silent }, nil},
+		{"ran, then its server is down", true, turnAway, (*testCluster).interruptServer},
+		{"ran, then its owner is killed", true, turnAway, func(s *testCluster, first cluster.Arrival) { s.Processes[first.Dispatcher].Kill() }},
+		{"ran, then its owner stands still", true, turnAway, func(s *testCluster, first cluster.Arrival) {
+			s.Processes[first.Dispatcher].Stop()
+			time.AfterFunc(trouble, s.Processes[first.Dispatcher].Continue)
+		}},
+		{"ran, then the leader is killed", true, turnAway, func(s *testCluster, _ cluster.Arrival) { s.Processes[s.Leader(s.ctx)].Kill() }},
+		{"not run, turned away", false, turnAway, nil},
+		{"not run, its server is down", false, turnAway, (*testCluster).interruptServer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := printer.New()
+			p.Window = window
+			s := startCluster(t, cluster.Options{Registrars: 3, Dispatchers: 2, Servers: 3, Seed: 25, Serve: p.Serve, RepeatWindow: window, LowTraffic: true,
+				Site: func(server int) string { return []string{"a", "a", "b"}[server] }})
+			s.waitForTraffic("s-2")
+			var firstTry sync.Once
+			var troubleEnds atomic.Int64
+			p.OnStep = func(step printer.Step, a cluster.Arrival) (k hosts.Kind) {
+				if step == printer.Printed && c.ran || step == printer.Received && !c.ran {
+					firstTry.Do(func() {
+						troubleEnds.Store(time.Now().Add(trouble).UnixNano())
+						if k = hosts.ConnectionReset; !c.ran {
+							k = hosts.TurnedAway
+						}
+						if c.begin != nil {
+							c.begin(s, a)
+						}
+					})
+				}
+				if ends := troubleEnds.Load(); k == hosts.Served && step == printer.Received && ends != 0 && time.Now().UnixNano() < ends {
+					return c.onArrival(s, a)
+				}
+				return k
+			}
+			s.mustChange(s.Operator(), plannedDispatch("sheet", "b", 30*time.Second))
+			want := statemachine.Done
+			if c.ran {
+				want = statemachine.Unknown
+			}
+			if w := s.waitForProgress(s.Operator(), "sheet", want); c.ran && w.Reason == "" {
+				t.Errorf("no reason is told: %+v", w)
+			}
+			time.Sleep(max(0, time.Until(time.Unix(0, troubleEnds.Load()))) + time.Second)
+			if got := p.Sheets(); len(got) != 1 || got["dispatch-sheet"] != 1 {
+				t.Errorf("printed %v, want dispatch-sheet once", got)
+			}
+		})
+	}
+}
+
+// interruptServer takes the server of an arrival down for longer than the window of repeats.
+func (s *testCluster) interruptServer(first cluster.Arrival) {
+	server, err := strconv.Atoi(strings.TrimPrefix(first.Server, "s-"))
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	go s.StopServer(server) // waits for the arrival that this is called from
+	time.AfterFunc(6*time.Second, func() {
+		if err := s.RestartServer(server); err != nil {
+			s.t.Error(err)
+		}
+	})
+}
+
 // A dispatch that can't be done in time is dropped at once, with the reason; one that is withdrawn is not sent.
 func TestDispatchDroppedOrWithdrawn(t *testing.T) {
 	t.Parallel()
--- a/internal/servers/attempt.go
+++ b/internal/servers/attempt.go
@@ -37,8 +37,14 @@
 	if c == nil {
 		return failure
 	}
-	// From here on the request counts as sent, also if it is given up below: whoever ends it now can't know any better.
-	a.Exchange.MarkSent()
+	a.Exchange.BeginAttempt()
+	r := p.sendAttempt(ctx, h, c, a)
+	a.Exchange.EndAttempt(r.Outcome.MayHaveRun())
+	return r
+}
+
+// sendAttempt writes an attempt to a connection and waits for its answer, unless the attempt must not be sent any more.
+func (p *Pool) sendAttempt(ctx context.Context, h *host, c *conn, a gateway.Attempt) gateway.Result {
 	// While the connection was being made, the request may have ended, its client left, or the host started to drain.
 	if a.Exchange.Ended() || a.Exchange.Abandoned() || ctx.Err() != nil || !p.admitSend(h, a) {
 		p.counters.Inc("attempts.given_up_unsent")
