--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -357,6 +357,9 @@
 	return time.Duration(until-unixMs) * time.Millisecond
 }
 
+// DispatchStates returns a copy of the states of all dispatches, by name.
+func (s *State) DispatchStates() map[string]DispatchState { return maps.Clone(s.Dispatches) }
+
 // SiteStatus tells whether a site was reachable when last observed, and how likely it is to be reachable in an hour.
 type SiteStatus struct {
 	State       string  `json:"state"` // when last observed: up or down
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -327,7 +327,8 @@
 	return f.askNode(r, func(reply func(any)) any { return &readRequest{receivedAt: f.opts.Clock.Now(), reply: reply} })
 }
 
-// status returns the status of the cluster. It is called once leadership is proved.
+// status returns the status of the cluster. It is called once leadership is proved. The goroutine of the request encodes it
+// while the node goes on, so it shares nothing that the node changes.
 func (n *node) status() any {
 	if !n.leading {
 		return n.notLeader()
@@ -335,7 +336,7 @@
 	view := n.leaderView()
 	d := n.state.Ruleset.Document
 	status := accord.Status{Cluster: n.opts.Cluster, Role: n.published.Load().role, Head: d.Head, StalenessBound: n.opts.Terms.StalenessBound().String(), Rules: d.Rules,
-		PendingChanges: d.Pending, Dispatches: n.state.Dispatches, Sites: n.state.SiteStatuses(n.unixMs()), Cordons: n.state.Cordons(view), Registrars: n.state.Registrars}
+		PendingChanges: d.Pending, Dispatches: n.state.DispatchStates(), Sites: n.state.SiteStatuses(n.unixMs()), Cordons: n.state.Cordons(view), Registrars: n.state.Registrars}
 	for site, d := range n.state.StalenessBounds(n.opts.Terms, n.unixMs()) {
 		if status.StalenessBoundBySite == nil {
 			status.StalenessBoundBySite = map[string]string{}
