--- a/cmd/merlinarch/serve.go
+++ b/cmd/merlinarch/serve.go
@@ -154,7 +154,18 @@
 		case s := <-terminate:
 			log.Info("shutting down", zap.String("signal", s.String()))
 			terminate = nil
-			go func() { drained <- clientServer.Drain() }()
+			tasksBy := time.Now().Add(c.Limits.KillAfter - tasksEndBeforeKill)
+			var tasksEnded <-chan struct{} // nil: there is no planned work
+			if follower != nil {
+				tasksEnded = follower.Drain()
+			}
+			go func() {
+				err := clientServer.Drain()
+				if tasksEnded != nil {
+					waitUntil(tasksBy, tasksEnded)
+				}
+				drained <- err
+			}()
 		case err = <-drained:
 			finished = true
 		}
@@ -166,6 +177,19 @@
 	return err
 }
 
+// tasksEndBeforeKill is how long before it may be killed a router stops waiting for its planned work.
+const tasksEndBeforeKill = 200 * time.Millisecond
+
+// waitUntil waits until done is closed, or until a given time.
+func waitUntil(at time.Time, done <-chan struct{}) {
+	timeout := time.NewTimer(time.Until(at))
+	defer timeout.Stop()
+	select {
+	case <-done:
+	case <-timeout.C:
+	}
+}
+
 // followerOptions returns the options with which this router follows the replicated configuration.
 func followerOptions(a features.Accord, c config.Config) accord.Options {
 	return accord.Options{Cluster: a.Cluster, Name: c.Name, Site: c.Settings.Zone, Registrars: a.Registrars, Mode: lease.Mode(a.WithoutLease),
--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -61,27 +61,6 @@
 	TakeSiteEvidence() []contact.Evidence
 }
 
-// TryResult is what is known of a try of planned work.
-type TryResult int
-
-// Results of a try.
-const (
-	TryUnknown TryResult = iota // the receiver may have run it
-	TryDone                     // the receiver has it
-	TryNotRun                   // the receiver certainly has not run it
-)
-
-// String returns the name of a result.
-func (r TryResult) String() string {
-	return [...]string{"unknown", "done", "not run"}[r]
-}
-
-// DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request, and not later than
-// sendBy; ctx ends with the dispatcher.
-type DispatchSender interface {
-	Send(ctx context.Context, t statemachine.Task, sendBy time.Time) TryResult
-}
-
 // Follower keeps a dispatcher's lease and its copy of the replicated configuration up to date. It is a client of the
 // registrars, not a Raft follower. Except for Gate, its state belongs to the goroutine that calls Run.
 type Follower struct {
@@ -97,10 +76,14 @@
 	registrarNames []string // sorted
 	token          string   // identifies this incarnation, so that a repeated enrolment gets the same number
 
-	documents chan ruleset.Document            // newer versions that watch has received
-	finished  chan statemachine.Outcome        // of tasks that have ended
-	tasks     map[uint64]*statemachine.Outcome // outcomes by fencing token; nil while the task runs
-	running   sync.WaitGroup
+	documents  chan ruleset.Document            // newer versions that watch has received
+	finished   chan statemachine.Outcome        // of tasks that have ended
+	tasks      map[uint64]*statemachine.Outcome // outcomes by fencing token; nil while the task runs
+	running    sync.WaitGroup
+	drain      chan struct{} // closed by Drain
+	drained    chan struct{} // closed once the registrars have the outcomes of all tasks
+	draining   bool          // Drain was called; no task is started any more
+	hasDrained bool          // drained is closed
 
 	incarnation   uint64 // 0: not enrolled
 	leaderIndex   int    // index into registrarNames of the registrar to ask next
@@ -120,7 +103,8 @@
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2,
 			IdleConnTimeout: 10 * o.Terms.Beat}},
 		registrarNames: slices.Sorted(maps.Keys(o.Registrars)), token: rand.Text(), documents: make(chan ruleset.Document, 1),
-		finished: make(chan statemachine.Outcome), tasks: map[uint64]*statemachine.Outcome{}, permission: lease.None}
+		finished: make(chan statemachine.Outcome), tasks: map[uint64]*statemachine.Outcome{}, permission: lease.None,
+		drain: make(chan struct{}), drained: make(chan struct{})}
 	f.leaderIndex = int(o.Seed % uint64(len(f.registrarNames)))
 	return f
 }
@@ -154,12 +138,12 @@
 			f.counters.Inc("accord.beats_failed")
 			f.logProblem(err.Error())
 		}
-		f.waitForNextBeat(ctx, pause)
+		f.waitForNextBeat(ctx, f.continueDrain(pause))
 	}
 }
 
-// waitForNextBeat waits until the next beat is due. It returns early when a document arrives, which it applies, or a task
-// finishes, so that the next beat reports it at once. When the lease ends, it passes the new permission on at once.
+// waitForNextBeat waits until the next beat is due. It returns early when a document arrives, which it applies, a task
+// finishes or a drain begins, so that the next beat reports it at once. When the lease ends, it passes the new permission on at once.
 func (f *Follower) waitForNextBeat(ctx context.Context, pause time.Duration) {
 	nextBeat := time.NewTimer(pause)
 	defer nextBeat.Stop()
@@ -174,6 +158,8 @@
 		case <-nextBeat.C:
 		case e := <-f.finished:
 			f.tasks[e.Fence] = &e
+		case <-f.drainRequested():
+			f.draining = true
 		case d := <-f.documents:
 			f.counters.Inc("accord.news")
 			if f.applyDocument(ctx, d) == nil && f.incarnation != 0 {
@@ -263,7 +249,7 @@
 		f.incarnation = e.Incarnation
 	}
 	beat := Beat{Cluster: f.opts.Cluster, Name: f.opts.Name, Incarnation: f.incarnation, HeldVersion: f.Gate.HeldVersion(), UnknownKinds: f.unknownKinds,
-		RepeatWindows: f.opts.RepeatWindows}
+		RepeatWindows: f.opts.RepeatWindows, Draining: f.draining}
 	servers, serversDigest := f.fleet.Servers()
 	if beat.ServersDigest = serversDigest; f.sendServers {
 		beat.Servers = servers
@@ -304,37 +290,6 @@
 	return granted.Document != nil, nil
 }
 
-// startTasks starts the tasks of a response that are new. It forgets finished ones that are no longer listed: the
-// registrars have withdrawn them or have recorded their outcomes. The registrars' times are counted from when the beat was
-// sent, not compared with this machine's wall clock, which may be stepped.
-func (f *Follower) startTasks(ctx context.Context, granted BeatResponse, beatAt time.Time) {
-	unixMs := granted.UnixMs
-	if unixMs == 0 { // the registrar is of an earlier version
-		unixMs = beatAt.UnixMilli()
-	}
-	listed := map[uint64]bool{}
-	for _, t := range granted.Tasks {
-		listed[t.Fence] = true
-		if _, started := f.tasks[t.Fence]; started {
-			continue
-		}
-		f.tasks[t.Fence] = nil
-		f.counters.Inc("accord.tasks")
-		sendBy := beatAt.Add(t.TimeLeft(unixMs))
-		f.running.Go(func() {
-			result := TryNotRun
-			if f.Sender != nil {
-				result = f.Sender.Send(ctx, t, sendBy)
-			}
-			select {
-			case f.finished <- statemachine.Outcome{Dispatch: t.Dispatch, Fence: t.Fence, Done: result == TryDone, NotRun: result == TryNotRun}:
-			case <-ctx.Done():
-			}
-		})
-	}
-	maps.DeleteFunc(f.tasks, func(fence uint64, e *statemachine.Outcome) bool { return e != nil && !listed[fence] })
-}
-
 // call sends a request to the registrar that is assumed to be the leader. If that one does not lead or does not answer as a
 // leader should, call selects another registrar for the next request.
 func (f *Follower) call(ctx context.Context, path string, in, out any) error {
--- a/internal/accord/follower_test.go
+++ b/internal/accord/follower_test.go
@@ -42,3 +42,26 @@
 		}
 	}
 }
+
+// A dispatcher that drains starts no task that it is given, but gives it back as one that has not run, and has drained once the
+// registrars list none. It guards against planned work that counts as one that may have run because its owner was restarted.
+func TestDrainGivesTasksBack(t *testing.T) {
+	f := &Follower{Sender: recordingSender{make(chan time.Time, 1)}, counters: metrics.New(), tasks: map[uint64]*statemachine.Outcome{},
+		finished: make(chan statemachine.Outcome, 1), drain: make(chan struct{}), drained: make(chan struct{})}
+	drained := f.Drain()
+	<-f.drainRequested()
+	f.draining = true
+	now := time.Now()
+	f.startTasks(t.Context(), BeatResponse{UnixMs: now.UnixMilli(), Tasks: []statemachine.Task{{Dispatch: "sheet", Fence: 7}}}, now)
+	if pause := f.continueDrain(time.Second); pause >= time.Second || f.tasks[7] == nil || !f.tasks[7].NotRun {
+		t.Errorf("pause %v, outcome %+v", pause, f.tasks[7])
+	}
+	f.startTasks(t.Context(), BeatResponse{UnixMs: now.UnixMilli()}, now)
+	f.continueDrain(time.Second)
+	f.continueDrain(time.Second)
+	select {
+	case <-drained:
+	default:
+		t.Error("not drained without a task")
+	}
+}
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -75,7 +75,8 @@
 	SiteEvidence  []contact.Evidence `json:"met,omitempty"`               // results of attempts at each site since the last beat
 	RepeatWindows map[string]int64   `json:"repeat_windows_ms,omitempty"` // by class; see statemachine.DispatchState
 
-	Outcomes []statemachine.Outcome `json:"ended,omitempty"` // finished tries of dispatches; repeated until the response no longer lists their tasks
+	Draining bool                   `json:"draining,omitempty"` // the sender ends soon and takes no further tasks
+	Outcomes []statemachine.Outcome `json:"ended,omitempty"`    // finished tries of dispatches; repeated until the response no longer lists their tasks
 }
 
 // BeatResponse grants a lease on a version. The lease starts when the Beat was sent.
--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -334,6 +334,7 @@
 	Elapsed     time.Duration // since the last entry that counted time
 
 	RepeatWindows map[string]map[string]int64 // by dispatcher and class; see DispatchState.WindowMs
+	Draining      map[string]bool             // dispatchers that take no further dispatches
 }
 
 // Cordons returns the status of all cordons, sorted by ID.
--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -387,6 +387,11 @@
 					}
 				}
 			}
+			view.Draining = map[string]bool{"n0": true}
+			if step(start); len(s.Tasks("n0", 1)) != 0 {
+				t.Errorf("claimed for a dispatcher that drains: %+v", s.Tasks("n0", 1))
+			}
+			view.Draining = nil
 			step(start)
 			first := s.Tasks("n0", 1)
 			if len(first) != 1 || first[0].RepeatUntilMs != 0 {
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -291,14 +291,14 @@
 	return out
 }
 
-// chooseOwner returns the dispatcher for a try: one that has sent beats, has applied the current version and holds a lease
-// that may be in force. It prefers a dispatcher other than the last owner, then one at the site itself, then the one with
+// chooseOwner returns the dispatcher for a try: one that has sent beats, does not drain, has applied the current version and
+// holds a lease that may be in force. It prefers a dispatcher other than the last owner, then one at the site itself, then the one with
 // the fewest claims. It returns an empty name if there is none.
 func (s *State) chooseOwner(view LeaderView, dispatch string, claims map[string]int) string {
 	d := s.Ruleset.Document.Rules.Dispatches[dispatch]
 	var candidates []string
 	for name, m := range s.Members {
-		if _, held, reported := view.Leases.LastBeat(name, m.Incarnation); m.Incarnation != 0 && reported && held == s.Ruleset.Document.Head.Version && !view.Leases.HasLapsed(view.Now, name, m.Incarnation) {
+		if _, held, reported := view.Leases.LastBeat(name, m.Incarnation); m.Incarnation != 0 && !view.Draining[name] && reported && held == s.Ruleset.Document.Head.Version && !view.Leases.HasLapsed(view.Now, name, m.Incarnation) {
 			candidates = append(candidates, name)
 		}
 	}
--- a/internal/registrar/dispatch_test.go
+++ b/internal/registrar/dispatch_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -135,6 +136,10 @@
 		{"ran, then the leader is killed", true, turnAway, func(s *testCluster, _ cluster.Arrival) { s.Processes[s.Leader(s.ctx)].Kill() }},
 		{"not run, turned away", false, turnAway, nil},
 		{"not run, its server is down", false, turnAway, (*testCluster).interruptServer},
+		{"not run, its owner ends in order", false, turnAway, func(s *testCluster, first cluster.Arrival) {
+			s.Processes[first.Dispatcher].Signal(syscall.SIGTERM)
+			time.Sleep(900 * time.Millisecond) // the try is in progress while its owner drains
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -64,6 +64,7 @@
 	hostEvidence       map[string][]cordon.Evidence // for automatic cordons
 	unknownKinds       map[string][]string          // kinds of rules that the dispatcher doesn't understand
 	repeatWindows      map[string]map[string]int64  // by dispatcher and class, as its last beat gave them
+	draining           map[string]bool              // dispatchers that take no further dispatches
 	siteEvidence       map[string]siteReport
 	clockOffsets       map[string]time.Duration // the dispatcher's wall clock minus this registrar's
 	leaderSince        time.Duration
@@ -412,7 +413,7 @@
 // resetDispatcherReports drops what dispatchers have reported, which is kept for one term only.
 func (n *node) resetDispatcherReports() {
 	n.serverLists, n.hostEvidence, n.unknownKinds = map[string]serverList{}, map[string][]cordon.Evidence{}, map[string][]string{}
-	n.repeatWindows = map[string]map[string]int64{}
+	n.repeatWindows, n.draining = map[string]map[string]int64{}, map[string]bool{}
 	n.siteEvidence, n.clockOffsets = map[string]siteReport{}, map[string]time.Duration{}
 }
 
@@ -543,7 +544,7 @@
 		for _, e := range beat.Outcomes {
 			n.propose(statemachine.Entry{Outcome: &e}, func(any) {})
 		}
-		n.repeatWindows[beat.Name] = beat.RepeatWindows
+		n.repeatWindows[beat.Name], n.draining[beat.Name] = beat.RepeatWindows, beat.Draining
 		if n.unknownKinds[beat.Name] = beat.UnknownKinds; len(beat.UnknownKinds) == 0 {
 			delete(n.unknownKinds, beat.Name)
 		}
@@ -697,7 +698,7 @@
 		}
 	}
 	return statemachine.LeaderView{Leases: n.leases, Now: now, ListServers: n.mergedServers, Evidence: hostEvidence, AutoCordon: n.opts.AutoCordon, Elapsed: now - n.expiryCountedUntil,
-		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Schedule: n.opts.Schedule, RepeatWindows: n.repeatWindows}
+		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Schedule: n.opts.Schedule, RepeatWindows: n.repeatWindows, Draining: n.draining}
 }
 
 // unixMs is the wall-clock time for the replicated state: this registrar's, corrected by the median offset of its own
