--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -436,3 +437,13 @@
 		t.Errorf("restored as %+v", got.Dispatches)
 	}
 }
+
+// Work that may be done until any time, however far, has time left. It guards against a span that overflows, with which the
+// work would never be sent.
+func TestTimeLeftOfTask(t *testing.T) {
+	for latest, want := range map[int64]time.Duration{5000: 4 * time.Second, 1000: 0, 500: -500 * time.Millisecond, math.MaxInt64: math.MaxInt64, math.MaxInt64 / 2: math.MaxInt64} {
+		if got := (Task{Plan: ruleset.Dispatch{Latest: latest}}).TimeLeft(1000); got != want {
+			t.Errorf("latest %d: %v, want %v", latest, got, want)
+		}
+	}
+}
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -354,7 +355,10 @@
 	if t.RepeatUntilMs > 0 {
 		until = min(until, t.RepeatUntilMs)
 	}
-	return time.Duration(until-unixMs) * time.Millisecond
+	if left := until - unixMs; left < math.MaxInt64/int64(time.Millisecond) {
+		return time.Duration(left) * time.Millisecond
+	}
+	return math.MaxInt64
 }
 
 // DispatchStates returns a copy of the states of all dispatches, by name.
