--- a/cmd/merlinarch/accord.go
+++ b/cmd/merlinarch/accord.go
@@ -318,6 +318,14 @@
 	return c
 }
 
+// dispatchNote returns what an operator should know of a dispatch beside its progress.
+func dispatchNote(d statemachine.DispatchState) string {
+	if d.MayHaveRun && (d.Progress == statemachine.Free || d.Progress == statemachine.Claimed) {
+		return "a try may have run"
+	}
+	return d.Reason
+}
+
 // printStatus writes a status as a table.
 func printStatus(out io.Writer, s accord.Status) {
 	fmt.Fprintf(out, "cluster %s, version %d, leader %s in term %d, D %s\n", s.Cluster, s.Head.Version, s.Role.Name, s.Role.Term, s.StalenessBound)
@@ -336,7 +344,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Dispatches)) {
 		x := s.Dispatches[name]
-		fmt.Fprintf(w, "dispatch\t%s\t%s\t%s\t%s\n", name, x.Progress, x.Owner, x.Reason)
+		fmt.Fprintf(w, "dispatch\t%s\t%s\t%s\t%s\n", name, x.Progress, x.Owner, dispatchNote(x))
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Sites)) {
 		x := s.Sites[name]
