--- a/internal/servers/pool.go
+++ b/internal/servers/pool.go
@@ -211,8 +211,8 @@
 }
 
 // tooLate reports whether an attempt must not be sent any more. The caller holds the lock. While a dial or a stall of the
-// machine delays an attempt, the drain grace may pass, a lower cap may come into force, the servers' deduplication window
-// may end, or a later build may answer the attempt's key. Such an attempt is given up and never sent late.
+// machine delays an attempt, its own time or the drain grace may pass (timers fire late after a stall), a lower cap may come
+// into force, the servers' deduplication window may end, or a later build may answer the attempt's key. Such an attempt is given up and never sent late.
 func (p *Pool) tooLate(h *host, a gateway.Attempt) bool {
 	now := time.Now()
 	drained := !h.drainingSince.IsZero() && now.After(h.drainingSince.Add(p.limits.SendGrace))
@@ -222,9 +222,12 @@
 		newest := p.keyBuilds[a.Exchange.Fields.Key]
 		cancelled = cancelled || h.Build < newest.build && a.DecidedAt.Before(newest.at)
 	}
-	return h.obsolete || drained || cancelled || !a.SendBy.IsZero() && now.After(a.SendBy)
+	return h.obsolete || drained || cancelled || isPast(a.Deadline, now) || isPast(a.SendBy, now)
 }
 
+// isPast reports whether a limit has passed; the zero time is no limit.
+func isPast(limit, now time.Time) bool { return !limit.IsZero() && now.After(limit) }
+
 // currentEntry returns a host's current entry in the list, which may change while an attempt is in progress.
 func (p *Pool) currentEntry(h *host) gateway.Host {
 	p.mu.Lock()
--- a/internal/servers/pool_test.go
+++ b/internal/servers/pool_test.go
@@ -319,6 +319,26 @@
 	}
 }
 
+// An attempt whose time is over is not sent, although its timer has not fired. It guards against attempts that leave late when
+// the process has stood still, for requests that have ended, or for planned work past its window.
+func TestAttemptWhoseTimeIsOverIsNotSent(t *testing.T) {
+	h := newFakeHost(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for reply(c, r, okResponse) != nil {
+		}
+	})
+	p, _ := newPool(t, testLimits(), h.host(1))
+	for late, want := range map[time.Duration]logic.Outcome{time.Second: logic.NotSent, -patience: logic.OK} {
+		now := time.Now()
+		ex := exchange.New(exchange.Message{Method: "POST", Target: "/", ID: "id"}, exchange.Fields{}, now.Add(patience))
+		ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+		r := p.runAttempt(ctx, gateway.Attempt{Exchange: ex, Server: 1, DecidedAt: now, Deadline: now.Add(-late)})
+		stop()
+		if r.Outcome != want || ex.MayHaveRun() != want.MayHaveRun() {
+			t.Errorf("an attempt that is %v late: outcome %v", late, r.Outcome)
+		}
+	}
+}
+
 // anyIdle returns a function that reports whether any of the idle connections to host 1 matches.
 func (p *Pool) anyIdle(match func(*conn) bool) func() bool {
 	return func() bool {
