--- a/deploy/check-clocks.sh
+++ b/deploy/check-clocks.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folders=("$@")
-allowed='^(cmd/merlinarch/(accord|ledger)|internal/gateway/gateway|internal/registrar/(node|registrar|clock)|internal/accord/(follower|client)|internal/decide/usage/usage|internal/ledger/(ledger|record))\.go:'
+allowed='^(cmd/merlinarch/(accord|ledger)|internal/gateway/gateway|internal/registrar/(node|registrar|clock)|internal/accord/(follower|tasks|client)|internal/decide/usage/usage|internal/ledger/(ledger|record))\.go:'
 if [ ${#folders[@]} -eq 0 ]; then
     folders=(cmd internal logic)
     skipped='^internal/(standin|rehearsal|testwait)/'
