--- a/internal/decide/contact/contact.go
+++ b/internal/decide/contact/contact.go
@@ -177,6 +177,14 @@
 	LastCountedOutage int64                              `json:"plan_seen"` // Unix ms: start of the latest planned outage that was counted
 }
 
+// CopyForForecasts returns a copy that gives the same forecasts. It leaves out the forecasts that wait for their outcomes, which
+// only observations need.
+func (s *Site) CopyForForecasts() *Site {
+	copied := *s
+	clear(copied.Pending[:])
+	return &copied
+}
+
 // Forecaster tracks all sites and forecasts when they can be reached.
 type Forecaster struct {
 	Sites map[string]*Site `json:"sites"`
--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -18,7 +18,6 @@
 	"merlinarch/internal/decide/cordon"
 	"merlinarch/internal/decide/lease"
 	"merlinarch/internal/decide/ruleset"
-	"merlinarch/internal/decide/schedule"
 )
 
 // Entry is one entry of the log. Exactly one of its parts is set. Entries are stored as JSON.
@@ -330,8 +329,8 @@
 	AutoCordon  cordon.AutoPolicy
 	SiteStates  map[string]contact.State // by site: whether dispatchers could reach it recently, merged from all reports
 	UnixMs      int64                    // wall-clock time
-	Schedule    schedule.Settings
-	Elapsed     time.Duration // since the last entry that counted time
+	Plan        *Plan                    // what to do with dispatches; nil: no plan has been made since the last look
+	Elapsed     time.Duration            // since the last entry that counted time
 
 	RepeatWindows map[string]map[string]int64 // by dispatcher and class; see DispatchState.WindowMs
 	Draining      map[string]bool             // dispatchers that take no further dispatches
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -106,6 +106,11 @@
 	return d
 }
 
+// isFinal reports whether nothing more is done for the dispatch.
+func (d DispatchState) isFinal() bool {
+	return d.Progress == Done || d.Progress == Dropped || d.Progress == Unknown
+}
+
 // claimIsOfEarlierWork reports whether the present claim is of work that was withdrawn.
 func (d DispatchState) claimIsOfEarlierWork() bool { return d.Fence < d.Generation }
 
@@ -127,7 +132,6 @@
 	if !exists {
 		dispatch.Progress = Free
 	}
-	isFinal := dispatch.Progress == Done || dispatch.Progress == Dropped || dispatch.Progress == Unknown
 	switch {
 	case e.Claim != nil:
 		if m, ok := s.Members[e.Claim.Name]; !planned || dispatch.Progress != Free || !ok || m.Incarnation != e.Claim.Incarnation || e.Claim.Incarnation == 0 {
@@ -152,7 +156,7 @@
 			return Result{Refused: "another has it by now"}
 		}
 	default:
-		if !planned || dispatch.Progress == Claimed || isFinal {
+		if !planned || dispatch.Progress == Claimed || dispatch.isFinal() {
 			return Result{Refused: "not to be given up"}
 		}
 		dispatch.Progress, dispatch.Reason = Dropped, e.Drop.Reason
@@ -205,33 +209,6 @@
 	return out
 }
 
-// siteForecast provides a site's forecasts to the planning of dispatches (schedule.Site).
-type siteForecast struct {
-	state *State
-	name  string
-	now   int64
-}
-
-// UpProbability implements schedule.Site.
-func (p siteForecast) UpProbability(at int64) (float64, bool) {
-	f := p.state.Forecaster.Forecast(p.now, at, p.name, p.state.plannedOutages(p.name))
-	return f.UpProbability, f.HasEvidence
-}
-
-// StayUpProbability implements schedule.Site.
-func (p siteForecast) StayUpProbability(at int64, d time.Duration) float64 {
-	return p.state.Forecaster.StayUpProbability(p.now, at, p.name, d)
-}
-
-// LastObservation implements schedule.Site.
-func (p siteForecast) LastObservation() (bool, int64, int64) {
-	site := p.state.Forecaster.Sites[p.name]
-	if site == nil {
-		return false, 0, -1
-	}
-	return site.State == contact.Up, site.Since, site.Seen
-}
-
 // observationInterval is the interval at which an unchanged state of a site is recorded.
 const observationInterval = time.Minute
 
@@ -247,7 +224,6 @@
 	if len(observed) > 0 {
 		out = append(out, Entry{Observed: &Observed{States: observed}})
 	}
-	var jobs []schedule.Job
 	claims := map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(s.Dispatches)) {
 		if dispatch := s.Dispatches[name]; dispatch.Progress == Claimed {
@@ -257,23 +233,7 @@
 			claims[dispatch.Owner]++
 		}
 	}
-	for name, planned := range s.Ruleset.Document.Rules.Dispatches {
-		dispatch := s.Dispatches[name]
-		if dispatch.Progress == Done || dispatch.Progress == Dropped || dispatch.Progress == Unknown {
-			continue
-		}
-		latest := planned.Latest
-		if until, limited := dispatch.repeatUntil(); limited {
-			latest = min(latest, until+int64(planned.ExpectedDurationMs))
-		}
-		jobs = append(jobs, schedule.Job{ID: name, Site: planned.Site, Earliest: planned.Earliest, Latest: latest, Worth: planned.Worth,
-			ExpectedDuration: time.Duration(planned.ExpectedDurationMs * float64(time.Millisecond)), LastTriedMs: dispatch.LastTriedMs, FailedTries: dispatch.Failures, InFlight: dispatch.Progress == Claimed})
-	}
-	if len(jobs) == 0 {
-		return out
-	}
-	decisions := view.Schedule.Plan(view.UnixMs, jobs, func(site string) schedule.Site { return siteForecast{s, site, view.UnixMs} })
-	for _, decision := range decisions {
+	for _, decision := range s.currentDecisions(view.Plan) {
 		switch decision.Verdict {
 		case schedule.GiveUp:
 			drop := Drop{Dispatch: decision.Job, Reason: decision.Reason}
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -72,6 +72,13 @@
 	dueMayHaveChanged  bool          // the entries that are due have to be computed again
 	dueInFlight        int           // entries that were due, proposed and not yet committed
 
+	planRequests chan planRequest   // to the planner
+	planning     bool               // the planner is at work
+	plan         *statemachine.Plan // not yet acted upon; nil: there is none
+	nextPlanAt   time.Duration      // no plan is asked for before then
+
+	longestTurn atomic.Int64 // the longest time, in ns, for which the node took no message
+
 	lastRef      uint64
 	replies      map[string]func(any) // by the Ref of a proposed entry
 	queuedReads  []*readRequest       // waiting for the next ReadIndex round
@@ -174,7 +181,7 @@
 // newNode restores a node from its store.
 func newNode(o Options, store *store, peers *peers, inbox *mailbox[any], storeInbox *mailbox[storeRequest], counters *metrics.Set, log *zap.Logger) (*node, error) {
 	n := &node{opts: o, id: store.id, inbox: inbox, storeInbox: storeInbox, peers: peers, log: log, counters: counters, replies: map[string]func(any){},
-		state: statemachine.New(o.Budget, o.ColdTime.Milliseconds())}
+		planRequests: make(chan planRequest, 1), state: statemachine.New(o.Budget, o.ColdTime.Milliseconds())}
 	snapshot, err := store.memory.Snapshot()
 	if err != nil {
 		return nil, err
@@ -199,6 +206,7 @@
 		return nil, err
 	}
 	n.resetDispatcherReports()
+	counters.NewGauge("registrar_longest_turn_seconds", func() float64 { return time.Duration(n.longestTurn.Load()).Seconds() })
 	n.peers.update(n.state.Registrars)
 	n.publish()
 	return n, nil
@@ -215,7 +223,7 @@
 
 // run is the node's main loop. It returns nil when done is closed, or the error that keeps the registrar from going on.
 func (n *node) run(done <-chan struct{}) error {
-	for {
+	for turnBegan := time.Now(); ; {
 		for n.rawNode.HasReady() {
 			n.handleReady(n.rawNode.Ready())
 		}
@@ -224,12 +232,14 @@
 		if n.rawNode.HasReady() {
 			continue
 		}
+		n.longestTurn.Store(max(n.longestTurn.Load(), int64(time.Since(turnBegan))))
 		select {
 		case <-done:
 			n.failAll("the registrar is shutting down")
 			return nil
 		case <-n.inbox.wake:
 		}
+		turnBegan = time.Now()
 		for _, m := range n.inbox.take() {
 			if err := n.handle(m); err != nil {
 				n.failAll("the registrar is shutting down")
@@ -279,6 +289,8 @@
 		n.proposeMembershipChange(m)
 	case leadershipTransfer:
 		n.transferLeadership()
+	case planResult:
+		n.receivePlan(m)
 	}
 	if n.isRemoved() {
 		return ErrRemoved
@@ -396,7 +408,7 @@
 	if leads && (!n.leading || n.term != status.GetTerm()) {
 		now := n.opts.Clock.Now()
 		n.leases = lease.NewTracker(n.opts.Terms, now)
-		n.leaderSince, n.expiryCountedUntil, n.appliedOwnTerm, n.dueInFlight = now, now, false, 0
+		n.leaderSince, n.expiryCountedUntil, n.appliedOwnTerm, n.dueInFlight, n.plan = now, now, false, 0, nil
 		n.resetDispatcherReports()
 		n.log.Info("became leader", zap.Uint64("term", status.GetTerm()))
 		n.counters.GetOrCreateCounter("registrar_elections_won_total").Inc()
@@ -698,7 +710,7 @@
 		}
 	}
 	return statemachine.LeaderView{Leases: n.leases, Now: now, ListServers: n.mergedServers, Evidence: hostEvidence, AutoCordon: n.opts.AutoCordon, Elapsed: now - n.expiryCountedUntil,
-		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Schedule: n.opts.Schedule, RepeatWindows: n.repeatWindows, Draining: n.draining}
+		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Plan: n.plan, RepeatWindows: n.repeatWindows, Draining: n.draining}
 }
 
 // unixMs is the wall-clock time for the replicated state: this registrar's, corrected by the median offset of its own
@@ -707,13 +719,15 @@
 	return n.opts.WallClock().Add(lease.MedianOffset(slices.Collect(maps.Values(n.clockOffsets)))).UnixMilli()
 }
 
-// proposeDue proposes the entries that are due by now, unless some are still uncommitted.
+// proposeDue proposes the entries that are due by now, unless some are still uncommitted. It asks for the next plan of
+// dispatches once the entries of the one before are committed, so that each plan rests on what came of it.
 func (n *node) proposeDue() {
 	if !n.leading || !n.appliedOwnTerm || !n.dueMayHaveChanged || n.dueInFlight > 0 {
 		return
 	}
-	n.dueMayHaveChanged = false
-	for _, e := range n.state.Due(n.leaderView()) {
+	view := n.leaderView()
+	n.dueMayHaveChanged, n.plan = false, nil
+	for _, e := range n.state.Due(view) {
 		if e.Elapsed != nil {
 			n.expiryCountedUntil += time.Duration(e.Elapsed.Ms) * time.Millisecond
 		}
@@ -725,6 +739,9 @@
 			}
 		})
 	}
+	if view.Plan == nil { // otherwise its claims are still to be committed
+		n.requestPlan()
+	}
 }
 
 // failReads refuses all reads that wait for a proof of leadership.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,7 +5,7 @@
 //
 // The parts run as goroutines that own their state and exchange messages: the node owns the Raft node, the replicated
 // state and, on the leader, what dispatchers have reported; the store owns the disk; each peer owns the connection to
-// one other registrar; each HTTP request runs in a goroutine of net/http, which sends its request to the node and waits
+// one other registrar; the planner plans dispatches on copies of the state; each HTTP request runs in a goroutine of net/http, which sends its request to the node and waits
 // for the answer.
 package registrar
 
@@ -173,6 +173,7 @@
 	}
 	f.running.Store(n)
 	tasks.Go(func() { runTicker(runCtx, o.Terms, nodeInbox) })
+	tasks.Go(func() { runPlanner(runCtx, n.planRequests, nodeInbox) })
 	tasks.Go(func() { backfillHistory(runCtx, o, store, f, peers, storeInbox, log) })
 	done := make(chan struct{})
 	go func() {
