--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -66,6 +66,7 @@
 	answering       bool          // a request head has been read and its answer is not yet written
 	requestDeadline time.Time     // when the request that is arriving has to be complete; zero: none is arriving
 	hangup          chan struct{} // for the request being answered: closed when net/http can't detect that its client hangs up
+	hungUp          bool          // hangup is closed
 	endReason       endReason     // why it ends; empty: it is open, or net/http closed it
 }
 
@@ -216,14 +217,15 @@
 	}
 }
 
-// signalHangup reports that the client of the present request counts as gone.
+// signalHangup reports that the client of the present request counts as gone. The signal stays until the next request: it may
+// come before the request's handler asks for it.
 func (c *conn) signalHangup() {
 	c.table.counters.Inc("clients.read_ahead_full")
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	if c.hangup != nil {
+	if c.hangup != nil && !c.hungUp {
 		close(c.hangup)
-		c.hangup = nil
+		c.hungUp = true
 	}
 }
 
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -123,7 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.answering = to == http.StateActive; c.answering {
-		c.hangup = make(chan struct{})
+		c.hangup, c.hungUp = make(chan struct{}), false
 		return
 	}
 	c.hangup, c.requestDeadline = nil, time.Time{}
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -64,6 +64,13 @@
 	return len(g.submitted), g.abandoned
 }
 
+// request returns one of the exchanges submitted.
+func (g *stubGateway) request(i int) *exchange.Exchange {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.submitted[i]
+}
+
 // serveOK finishes an exchange with the answer "hi".
 func serveOK(ex *exchange.Exchange) {
 	ex.Finish(exchange.Answer{Status: exchange.Served, Body: []byte("hi")})
