--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -253,15 +253,6 @@
 	return s.lastBeat, s.version, true
 }
 
-// MedianOffset returns the median of the dispatchers' wall-clock offsets from the leader's clock and of the leader's own
-// offset, zero. A single clock that is set wrong, the leader's included, does not move the median. Neither leases nor the
-// expiry of cordons depend on it.
-func MedianOffset(offsets []time.Duration) time.Duration {
-	all := append(slices.Clone(offsets), 0)
-	slices.Sort(all)
-	return all[len(all)/2]
-}
-
 // Clone returns an independent copy.
 func (r *Tracker) Clone() *Tracker {
 	clone := &Tracker{terms: r.terms, startedAt: r.startedAt, states: make(map[incarnationKey]*incarnationState, len(r.states))}
--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -331,6 +331,8 @@
 	UnixMs      int64                    // wall-clock time
 	Plan        *Plan                    // what to do with dispatches; nil: no plan has been made since the last look
 	Elapsed     time.Duration            // since the last entry that counted time
+	// ClockInDoubt says that the clocks of too few members agree. Nothing is claimed, given up or observed then.
+	ClockInDoubt bool
 
 	RepeatWindows map[string]map[string]int64 // by dispatcher and class; see DispatchState.WindowMs
 	Draining      map[string]bool             // dispatchers that take no further dispatches
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -221,7 +221,7 @@
 			observed[site] = state
 		}
 	}
-	if len(observed) > 0 {
+	if len(observed) > 0 && !view.ClockInDoubt {
 		out = append(out, Entry{Observed: &Observed{States: observed}})
 	}
 	claims := map[string]int{}
@@ -233,6 +233,9 @@
 			claims[dispatch.Owner]++
 		}
 	}
+	if view.ClockInDoubt {
+		return out
+	}
 	for _, decision := range s.currentDecisions(view.Plan) {
 		switch decision.Verdict {
 		case schedule.GiveUp:
@@ -309,6 +312,14 @@
 	Generation uint64 `json:"generation,omitempty"` // distinguishes work that was planned under the name of withdrawn work
 }
 
+// Expired returns tasks that may not be sent any more, so that their owner gives back those that it has not begun.
+func Expired(tasks []Task) []Task {
+	for i := range tasks {
+		tasks[i].RepeatUntilMs = 1
+	}
+	return tasks
+}
+
 // TimeLeft returns how long the task may still be sent, at unixMs of the registrars' time. It may be negative.
 func (t Task) TimeLeft(unixMs int64) time.Duration {
 	until := t.Plan.Latest
--- a/internal/registrar/front.go
+++ b/internal/registrar/front.go
@@ -132,7 +132,7 @@
 		f.counters.GetOrCreateCounter(`registrar_messages_refused_total{why="stranger"}`).Inc()
 		return accord.NewProblem(accord.CodeInvalid, "no registrar of this name is known")
 	}
-	received := raftMessages{fromName: batch.From, fromID: batch.FromID, boots: batch.Boots}
+	received := raftMessages{fromName: batch.From, fromID: batch.FromID, boots: batch.Boots, unixMs: batch.UnixMs}
 	for _, encoded := range batch.Messages {
 		m := &pb.Message{}
 		if err := proto.Unmarshal(encoded, m); err != nil || m.GetFrom() != batch.FromID || m.GetTo() != f.id.ID {
--- a/internal/registrar/node.go
+++ b/internal/registrar/node.go
@@ -66,7 +66,9 @@
 	repeatWindows      map[string]map[string]int64  // by dispatcher and class, as its last beat gave them
 	draining           map[string]bool              // dispatchers that take no further dispatches
 	siteEvidence       map[string]siteReport
-	clockOffsets       map[string]time.Duration // the dispatcher's wall clock minus this registrar's
+	clockOffsets       map[string]*lease.ClockOffset // the dispatcher's wall clock minus this registrar's
+	peerClockOffsets   map[uint64]*lease.ClockOffset // the same for other registrars, by ID
+	time               agreedTime
 	leaderSince        time.Duration
 	expiryCountedUntil time.Duration // time up to here is counted towards the expiry of cordons
 	dueMayHaveChanged  bool          // the entries that are due have to be computed again
@@ -119,6 +121,7 @@
 		fromID   uint64
 		messages []*pb.Message
 		boots    uint64
+		unixMs   int64 // the sender's wall clock
 	}
 	// storeResponses are Raft messages to send now that what they promise is on the disk.
 	storeResponses struct{ messages []*pb.Message }
@@ -264,6 +267,7 @@
 			n.failReads("leadership can't be proved: the other registrars do not answer")
 		}
 	case raftMessages:
+		recordOffset(n, n.peerClockOffsets, m.fromID, m.unixMs)
 		if len(n.state.Registrars) == 0 {
 			n.peers.addUnlisted(m.fromName, m.fromID)
 		}
@@ -426,7 +430,8 @@
 func (n *node) resetDispatcherReports() {
 	n.serverLists, n.hostEvidence, n.unknownKinds = map[string]serverList{}, map[string][]cordon.Evidence{}, map[string][]string{}
 	n.repeatWindows, n.draining = map[string]map[string]int64{}, map[string]bool{}
-	n.siteEvidence, n.clockOffsets = map[string]siteReport{}, map[string]time.Duration{}
+	n.siteEvidence = map[string]siteReport{}
+	n.clockOffsets, n.peerClockOffsets = map[string]*lease.ClockOffset{}, map[uint64]*lease.ClockOffset{}
 }
 
 // leaderName returns the name of the present leader, or "" if there is none or it isn't known.
@@ -549,7 +554,7 @@
 		if beat.ServerEvidence != nil {
 			n.hostEvidence[beat.Name] = cordon.AccumulateEvidence(n.hostEvidence[beat.Name], beat.ServerEvidence)
 		}
-		n.clockOffsets[beat.Name] = time.UnixMilli(beat.UnixMs).Sub(n.opts.WallClock())
+		recordOffset(n, n.clockOffsets, beat.Name, beat.UnixMs)
 		if len(beat.SiteEvidence) > 0 {
 			n.siteEvidence[beat.Name] = siteReport{read.receivedAt, beat.SiteEvidence}
 		}
@@ -610,8 +615,12 @@
 		return accord.NewProblem(accord.CodeStaleIncarnation, "a newer incarnation of the dispatcher has replaced this one")
 	}
 	document := n.state.Ruleset.Document
+	tasks := n.state.Tasks(beat.Name, beat.Incarnation)
+	if n.clockInDoubt() {
+		tasks = statemachine.Expired(tasks)
+	}
 	granted := accord.BeatResponse{Cluster: n.opts.Cluster, Leader: n.id.Name, Version: document.Head.Version, LeaseNs: int64(length), UnixMs: n.unixMs(),
-		WantServers: beat.ServersDigest != "" && n.serverLists[beat.Name].digest != beat.ServersDigest, Tasks: n.state.Tasks(beat.Name, beat.Incarnation)}
+		WantServers: beat.ServersDigest != "" && n.serverLists[beat.Name].digest != beat.ServersDigest, Tasks: tasks}
 	if beat.HeldVersion != document.Head.Version {
 		granted.Document = &document
 	}
@@ -710,13 +719,7 @@
 		}
 	}
 	return statemachine.LeaderView{Leases: n.leases, Now: now, ListServers: n.mergedServers, Evidence: hostEvidence, AutoCordon: n.opts.AutoCordon, Elapsed: now - n.expiryCountedUntil,
-		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Plan: n.plan, RepeatWindows: n.repeatWindows, Draining: n.draining}
-}
-
-// unixMs is the wall-clock time for the replicated state: this registrar's, corrected by the median offset of its own
-// and the dispatchers' clocks.
-func (n *node) unixMs() int64 {
-	return n.opts.WallClock().Add(lease.MedianOffset(slices.Collect(maps.Values(n.clockOffsets)))).UnixMilli()
+		SiteStates: contact.MergeEvidence(siteEvidence), UnixMs: n.unixMs(), Plan: n.plan, ClockInDoubt: n.clockInDoubt(), RepeatWindows: n.repeatWindows, Draining: n.draining}
 }
 
 // proposeDue proposes the entries that are due by now, unless some are still uncommitted. It asks for the next plan of
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -32,7 +32,8 @@
 	FromID   uint64   `json:"from_id"`
 	ToID     uint64   `json:"to_id"`
 	Boots    uint64   `json:"boots"`
-	Messages [][]byte `json:"messages"` // protobuf
+	UnixMs   int64    `json:"unix_ms,omitempty"` // the sender's wall clock
+	Messages [][]byte `json:"messages"`          // protobuf
 }
 
 // peers sends to the other registrars. Each of them has a goroutine that owns the connection to it.
@@ -150,7 +151,7 @@
 				queued = false
 			}
 		}
-		batch := raftBatch{Cluster: p.opts.Cluster, From: p.id.Name, FromID: p.id.ID, ToID: q.id, Boots: p.id.Boots}
+		batch := raftBatch{Cluster: p.opts.Cluster, From: p.id.Name, FromID: p.id.ID, ToID: q.id, Boots: p.id.Boots, UnixMs: p.opts.unixMs()}
 		hasSnapshot := false
 		for _, m := range messages {
 			encoded, err := proto.Marshal(m)
