--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -100,8 +100,10 @@
 	Retired         map[string]Retire        `json:"retired,omitempty"`
 	RemainingMs     map[string]int64         `json:"left,omitempty"` // by cordon that expires: time until then
 	Forecaster      *contact.Forecaster      `json:"contacts"`
-	Dispatches      map[string]DispatchState `json:"work,omitempty"` // by dispatch name
-	LastFence       uint64                   `json:"fence"`          // fencing token of the latest claim
+	Dispatches      map[string]DispatchState `json:"work,omitempty"`     // by dispatch name
+	LastFence       uint64                   `json:"fence"`              // fencing token of the latest claim
+	UsedNames       map[string]struct{}      `json:"used,omitempty"`     // names of withdrawn dispatches that were claimed
+	AllNamesUsed    bool                     `json:"all_used,omitempty"` // there were too many to remember: each name counts as used
 
 	Registrars         map[string]Registrar `json:"registrars"`
 	FormerRegistrarIDs []uint64             `json:"gone,omitempty"` // replaced or removed; never accepted again
--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -322,6 +322,60 @@
 	}
 }
 
+// Work that is planned under a name whose earlier work was claimed and then withdrawn is other work, with a key of its own,
+// whatever became of the earlier one. It guards against work that receivers drop as a repeat and that counts as done.
+func TestSameNamePlannedAgain(t *testing.T) {
+	for name, end := range map[string]Entry{
+		"done":    {Outcome: &Outcome{Dispatch: "d", Fence: 1, Done: true}},
+		"unknown": {Outcome: &Outcome{Dispatch: "d", Fence: 1}},
+		"not run": {Outcome: &Outcome{Dispatch: "d", Fence: 1, NotRun: true}},
+	} {
+		for _, remembered := range []int{maxUsedNames, 0} {
+			s := New(cordon.Budget{Share: 1}, 1000)
+			s.Apply(enrolEntry("n0", "t", lease.Hold), 1)
+			change := func(c ruleset.Change) {
+				s.applyChange(1, fmt.Sprint(s.Ruleset.Document.Head.Version), c)
+				s.Apply(Entry{Term: 1, Activate: &Activate{Version: s.Ruleset.Document.Head.Version}}, 1)
+			}
+			plan := func(name, body string) {
+				change(ruleset.Change{Kind: ruleset.KindDispatch, Name: name, Dispatch: &ruleset.Dispatch{Site: "x", Class: "c", Target: "/", Body: body, Earliest: 1, Latest: 1 << 40, Worth: 1}})
+			}
+			claim := func(name string) Task {
+				s.Apply(Entry{Term: 1, Claim: &Claim{Dispatch: name, Name: "n0", Incarnation: 1}}, 1)
+				for _, task := range s.Tasks("n0", 1) {
+					if task.Dispatch == name {
+						return task
+					}
+				}
+				t.Fatalf("%s is not claimed", name)
+				return Task{}
+			}
+			plan("d", "first")
+			first := claim("d")
+			s.Apply(end, 1)
+			change(ruleset.Change{Kind: ruleset.KindWithdraw, Name: "d"})
+			for i := remembered; i < maxUsedNames; i++ { // as many other names as are remembered
+				s.rememberName(fmt.Sprint("other-", i))
+			}
+			text, err := json.Marshal(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s, err = Restore(text); err != nil {
+				t.Fatal(err)
+			}
+			plan("d", "second")
+			if second := claim("d"); first.Generation != 0 || second.Generation != second.Fence || second.Plan.Body != "second" {
+				t.Errorf("%s: first %+v, second %+v", name, first, second)
+			}
+			plan("new", "third")
+			if other := claim("new"); remembered > 0 && other.Generation != 0 {
+				t.Errorf("%s: a name that was never used: %+v", name, other)
+			}
+		}
+	}
+}
+
 // A dispatcher gets a longer lease while its site is about to be cut off, and the staleness bound of the site says so.
 func TestLongerLease(t *testing.T) {
 	s := New(cordon.Budget{Share: 1}, 1000)
--- a/internal/decide/statemachine/work.go
+++ b/internal/decide/statemachine/work.go
@@ -84,8 +84,8 @@
 	FirstTriedMs int64 `json:"first_tried_ms,omitempty"`
 	MayHaveRun   bool  `json:"may_have_run,omitempty"` // the result of a try that has ended is unknown
 
-	// Generation is the least fence of a claim of the present work. Claims with lower fences are of work of the same name that
-	// was withdrawn while they were in force. Zero: there was none.
+	// Generation is the least fence of a claim of the present work, and part of its key. Claims with lower fences are of work
+	// of the same name that was withdrawn. Zero: there was none.
 	Generation uint64 `json:"generation,omitempty"`
 }
 
@@ -142,6 +142,9 @@
 		if !dispatch.MayHaveRun {
 			dispatch.FirstTriedMs, dispatch.WindowMs = e.At, e.Claim.WindowMs
 		}
+		if !exists && s.isUsedName(name) {
+			dispatch.Generation = dispatch.Fence
+		}
 	case e.Outcome != nil && e.Outcome.Done && e.Outcome.Fence >= dispatch.Generation:
 		if !exists { // it was withdrawn in the meantime
 			return Result{Refused: "no such dispatch"}
@@ -184,6 +187,28 @@
 	return true
 }
 
+// maxUsedNames bounds the names of withdrawn dispatches that are remembered.
+const maxUsedNames = 4096
+
+// rememberName records that receivers may know the key of a withdrawn dispatch.
+func (s *State) rememberName(name string) {
+	switch {
+	case s.AllNamesUsed:
+	case len(s.UsedNames) >= maxUsedNames:
+		s.UsedNames, s.AllNamesUsed = nil, true
+	case s.UsedNames == nil:
+		s.UsedNames = map[string]struct{}{name: {}}
+	default:
+		s.UsedNames[name] = struct{}{}
+	}
+}
+
+// isUsedName reports whether receivers may know the key of an earlier dispatch of this name.
+func (s *State) isUsedName(name string) bool {
+	_, used := s.UsedNames[name]
+	return used || s.AllNamesUsed
+}
+
 // removeWithdrawn removes dispatches that were withdrawn, unless their owner may still be sending them. What is planned
 // under the name of such a one is new work.
 func (s *State) removeWithdrawn() {
@@ -193,6 +218,9 @@
 		}
 		if dispatch.Progress != Claimed {
 			delete(s.Dispatches, name)
+			if dispatch.Fence > 0 {
+				s.rememberName(name)
+			}
 			continue
 		}
 		dispatch.Generation, dispatch.Failures, dispatch.MayHaveRun = s.LastFence+1, 0, false
