--- a/internal/decide/statemachine/statemachine.go
+++ b/internal/decide/statemachine/statemachine.go
@@ -400,7 +400,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.RemainingMs)) {
 		if s.RemainingMs[id] == 0 && !s.isLifting(id) {
-			out = append(out, Entry{ChangeRequest: &ruleset.ChangeRequest{Key: fmt.Sprintf("expire %s %d", id, s.CordonVersions[id]), BaseVersion: d.Head.Version,
+			out = append(out, Entry{ChangeRequest: &ruleset.ChangeRequest{Key: fmt.Sprintf("expire %s %d %d", id, s.CordonVersions[id], d.Head.Version), BaseVersion: d.Head.Version,
 				Author: "registrar", Reason: "its time is over", Changes: []ruleset.Change{{Kind: ruleset.KindLift, Name: id}}}})
 			break // the next one has to be based on the version that this one makes
 		}
--- a/internal/decide/statemachine/statemachine_test.go
+++ b/internal/decide/statemachine/statemachine_test.go
@@ -322,6 +322,36 @@
 	}
 }
 
+// A cordon with a time ends although other changes win against its end. It guards against a refusal that is kept under the key
+// of the request, and answers each further one.
+func TestExpiryThatLosesIsAskedForAgain(t *testing.T) {
+	s := New(cordon.Budget{Share: 1}, 1000)
+	s.Apply(enrolEntry("n0", "t", lease.Hold), 1)
+	s.applyChange(1, "1", cordonChange("a", 5000))
+	s.Apply(Entry{Term: 1, Elapsed: &Elapsed{Ms: 5000}}, 1)
+	view := LeaderView{Leases: lease.NewTracker(terms, 0), ListServers: threeServers}
+	expiry := func() Entry {
+		t.Helper()
+		for _, e := range s.Due(view) {
+			if e.ChangeRequest != nil {
+				return e
+			}
+		}
+		t.Fatal("no end of the cordon is due")
+		return Entry{}
+	}
+	for lost := range 3 { // another change is committed between the request and its entry
+		e, value := expiry(), 0.5
+		s.applyChange(1, fmt.Sprint("other", lost), ruleset.Change{Kind: ruleset.KindWorth, Name: "c", Value: &value})
+		if r := s.Apply(e, 1); r.Refused != ruleset.RefusedStale {
+			t.Fatalf("an end that lost for the time %d: %+v", lost+1, r)
+		}
+	}
+	if r := s.Apply(expiry(), 1); r.Refused != "" || !s.isLifting("a") {
+		t.Errorf("an end that wins: %+v", r)
+	}
+}
+
 // Work that is planned under a name whose earlier work was claimed and then withdrawn is other work, with a key of its own,
 // whatever became of the earlier one. It guards against work that receivers drop as a repeat and that counts as done.
 func TestSameNamePlannedAgain(t *testing.T) {
