--- a/internal/decide/schedule/schedule.go
+++ b/internal/decide/schedule/schedule.go
@@ -117,13 +117,13 @@
 	})
 	for _, j := range ready {
 		x := site(j.Site)
+		if inFlight[j.Site] >= s.tryLimit(x, now) { // no forecast is needed, which may take long
+			decisions = append(decisions, Decision{Job: j.ID, Verdict: Wait, RetryAtMs: now + s.PlanInterval.Milliseconds()})
+			continue
+		}
 		decision := s.decide(now, j, x)
 		if decision.Verdict == Try {
-			if inFlight[j.Site] >= s.tryLimit(x, now) {
-				decision = Decision{Job: j.ID, Verdict: Wait, RetryAtMs: now + s.PlanInterval.Milliseconds()}
-			} else {
-				inFlight[j.Site]++
-			}
+			inFlight[j.Site]++
 		}
 		decisions = append(decisions, decision)
 	}
