--- a/internal/accord/follower.go
+++ b/internal/accord/follower.go
@@ -79,6 +79,7 @@
 	documents  chan ruleset.Document            // newer versions that watch has received
 	finished   chan statemachine.Outcome        // of tasks that have ended
 	tasks      map[uint64]*statemachine.Outcome // outcomes by fencing token; nil while the task runs
+	inProgress map[uint64]taskInProgress        // by fencing token
 	running    sync.WaitGroup
 	drain      chan struct{} // closed by Drain
 	drained    chan struct{} // closed once the registrars have the outcomes of all tasks
@@ -103,7 +104,7 @@
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2,
 			IdleConnTimeout: 10 * o.Terms.Beat}},
 		registrarNames: slices.Sorted(maps.Keys(o.Registrars)), token: rand.Text(), documents: make(chan ruleset.Document, 1),
-		finished: make(chan statemachine.Outcome), tasks: map[uint64]*statemachine.Outcome{}, permission: lease.None,
+		finished: make(chan statemachine.Outcome), tasks: map[uint64]*statemachine.Outcome{}, inProgress: map[uint64]taskInProgress{}, permission: lease.None,
 		drain: make(chan struct{}), drained: make(chan struct{})}
 	f.leaderIndex = int(o.Seed % uint64(len(f.registrarNames)))
 	return f
@@ -158,6 +159,7 @@
 		case <-nextBeat.C:
 		case e := <-f.finished:
 			f.tasks[e.Fence] = &e
+			delete(f.inProgress, e.Fence)
 		case <-f.drainRequested():
 			f.draining = true
 		case d := <-f.documents:
@@ -232,6 +234,7 @@
 	if err := f.Gate.Apply(ctx, view); err != nil {
 		return err
 	}
+	f.stopTasks(func(_ uint64, t taskInProgress) bool { return !view.IsPlanned(t.dispatch) })
 	f.view = view
 	f.counters.Inc("accord.versions_taken")
 	return nil
--- a/internal/accord/tasks.go
+++ b/internal/accord/tasks.go
@@ -24,7 +24,7 @@
 }
 
 // DispatchSender sends a dispatch, a piece of planned work, through the same decisions as any request, and not later than
-// sendBy; ctx ends with the dispatcher.
+// sendBy; ctx ends with the dispatcher, or with the claim.
 type DispatchSender interface {
 	Send(ctx context.Context, t statemachine.Task, sendBy time.Time) TryResult
 }
@@ -50,10 +50,13 @@
 		f.tasks[t.Fence] = nil
 		f.counters.Inc("accord.tasks")
 		sendBy := beatAt.Add(t.TimeLeft(unixMs))
+		taskCtx, stop := context.WithCancel(ctx)
+		f.inProgress[t.Fence] = taskInProgress{t.Dispatch, stop}
 		f.running.Go(func() {
+			defer stop()
 			result := TryNotRun
 			if f.Sender != nil {
-				result = f.Sender.Send(ctx, t, sendBy)
+				result = f.Sender.Send(taskCtx, t, sendBy)
 			}
 			select {
 			case f.finished <- statemachine.Outcome{Dispatch: t.Dispatch, Fence: t.Fence, Done: result == TryDone, NotRun: result == TryNotRun}:
@@ -62,6 +65,23 @@
 		})
 	}
 	maps.DeleteFunc(f.tasks, func(fence uint64, e *statemachine.Outcome) bool { return e != nil && !listed[fence] })
+	f.stopTasks(func(fence uint64, _ taskInProgress) bool { return !listed[fence] })
+}
+
+// taskInProgress is a task that has been started and has not ended.
+type taskInProgress struct {
+	dispatch string
+	stop     context.CancelFunc
+}
+
+// stopTasks stops the tasks in progress that match: their work was withdrawn or belongs to another claim by now. An attempt
+// that is held by a dial is then no longer sent, also if other work is planned under the same name meanwhile.
+func (f *Follower) stopTasks(match func(fence uint64, t taskInProgress) bool) {
+	for fence, t := range f.inProgress {
+		if match(fence, t) {
+			t.stop()
+		}
+	}
 }
 
 // Drain makes the dispatcher start no further task, and tells the registrars so. It may be called once. The channel that it
