--- a/internal/accord/tasks.go
+++ b/internal/accord/tasks.go
@@ -29,9 +29,9 @@
 	Send(ctx context.Context, t statemachine.Task, sendBy time.Time) TryResult
 }
 
-// startTasks starts the tasks of a response that are new; a dispatcher that drains gives them back. It forgets finished ones that are no longer listed: the
-// registrars have withdrawn them or have recorded their outcomes. The registrars' times are counted from when the beat was
-// sent, not compared with this machine's wall clock, which may be stepped.
+// startTasks starts the tasks of a response that are new; a dispatcher that drains gives them back. It stops or forgets those
+// that are no longer listed: the registrars have withdrawn them or have recorded their outcomes. The registrars' times are
+// counted from when the beat was sent, not compared with this machine's wall clock, which may be stepped.
 func (f *Follower) startTasks(ctx context.Context, granted BeatResponse, beatAt time.Time) {
 	unixMs := granted.UnixMs
 	if unixMs == 0 { // the registrar is of an earlier version
--- a/internal/registrar/answers_test.go
+++ b/internal/registrar/answers_test.go
@@ -123,6 +123,32 @@
 	}
 }
 
+// A leader plans nothing before it knows the time on which most clocks agree. It guards against work that is given up by a plan
+// that was made with a wrong clock and is acted upon once the clocks agree.
+func TestNoPlanWhileClocksAreInDoubt(t *testing.T) {
+	n := newLeadingNode(t)
+	for i, e := range entriesOfAllKinds(n)[:3] { // work is planned
+		e.Term, e.At = 1, int64(1000+i)
+		if r := n.state.Apply(e, 1); r.Refused != "" {
+			t.Fatal(r.Refused)
+		}
+	}
+	if n.requestPlan(); n.planning {
+		t.Error("a plan is made by a clock that no other one confirms")
+	}
+	for _, r := range n.state.Registrars {
+		recordOffset(n, n.peerClockOffsets, r.ID, time.Now().Add(-time.Hour).UnixMilli())
+	}
+	recordOffset(n, n.clockOffsets, "n0", time.Now().Add(-time.Hour).UnixMilli())
+	n.time = agreedTime{}
+	if n.requestPlan(); !n.planning {
+		t.Error("no plan is made although most clocks agree")
+	}
+	if off := time.Duration(n.unixMs()-time.Now().UnixMilli()) * time.Millisecond; (off + time.Hour).Abs() > time.Second {
+		t.Errorf("the time is off by %v, want that of most clocks, an hour behind", off)
+	}
+}
+
 // BenchmarkStatus measures what a status costs the node, by the number of sites with forecasts.
 func BenchmarkStatus(b *testing.B) {
 	for _, sites := range []int{2, 20} {
--- a/internal/registrar/planner.go
+++ b/internal/registrar/planner.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// requestPlan asks for a plan of the present state, unless one is being made. It rests after each plan for as long as the plan
+// requestPlan asks for a plan of the present state, unless one is being made or the clocks are in doubt: what a plan gives up by
+// a wrong time would be given up once they are not. It rests after each plan for as long as the plan
 // took, so that planning takes half of a core at most.
 func (n *node) requestPlan() {
-	if n.planning || n.opts.Clock.Now() < n.nextPlanAt {
+	if n.planning || n.opts.Clock.Now() < n.nextPlanAt || n.clockInDoubt() {
 		return
 	}
 	input, needed := n.state.PlanInput(n.unixMs(), n.opts.Schedule)
